--- /dev/null
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/package-info.java
@@ -0,0 +1,2 @@
+/** Claims that make calls run at most once. */
+package org.mangoridge.claims;
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/CheckCommand.java
@@ -0,0 +1,77 @@
+package org.mangoridge.cli.command;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import org.apache.commons.cli.Options;
+import org.mangoridge.core.Result;
+import org.mangoridge.settings.deployment.DeploymentFolder;
+import org.mangoridge.settings.deployment.DeploymentParser;
+import org.mangoridge.settings.deployment.MergedSections;
+import org.mangoridge.settings.ini.IniEntry;
+import org.mangoridge.settings.ini.IniSection;
+import org.mangoridge.settings.ini.Problem;
+
+/** Merges and checks a folder, and prints where each value came from. */
+public final class CheckCommand implements Command {
+
+    @Override
+    public String name() {
+        return "check";
+    }
+
+    @Override
+    public String arguments() {
+        return "DIR";
+    }
+
+    @Override
+    public String summary() {
+        return "Merge and check the files of DIR, and print where each value came from.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options();
+    }
+
+    @Override
+    public ExitCode run(Invocation invocation) {
+        Path folder = Path.of(invocation.onlyArgument("DIR"));
+        Result<MergedSections, List<Problem>> merged = DeploymentFolder.read(folder);
+        if (!merged.isOk()) {
+            return reject(invocation, merged.error());
+        }
+        var parsed = DeploymentParser.parse(merged.value().sections());
+        if (!parsed.isOk()) {
+            return reject(invocation, parsed.error());
+        }
+        merged.value().sections().forEach(section -> print(invocation, section));
+        for (MergedSections.Override override : merged.value().overrides()) {
+            invocation
+                    .out()
+                    .printf(
+                            "override: [%s] %s: %s (%s) replaced %s (%s)%n",
+                            override.heading(),
+                            override.later().key(),
+                            override.later().value(),
+                            override.later().origin(),
+                            override.earlier().value(),
+                            override.earlier().origin());
+        }
+        return ExitCode.DONE;
+    }
+
+    private static ExitCode reject(Invocation invocation, List<Problem> problems) {
+        problems.forEach(problem -> invocation.err().println(problem));
+        return ExitCode.FAILED;
+    }
+
+    private static void print(Invocation invocation, IniSection section) {
+        invocation.out().println("[" + section.heading() + "]");
+        for (IniEntry entry : section.entries()) {
+            invocation.out().printf("%-50s ; %s%n", entry.key() + " = " + entry.value(), entry.origin());
+        }
+        invocation.out().println();
+    }
+}
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
@@ -0,0 +1,78 @@
+package org.mangoridge.cli.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+
+import org.apache.commons.cli.Options;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.time.SystemClock;
+import org.mangoridge.entry.EntryInstance;
+import org.mangoridge.routing.BaselinePolicy;
+import org.mangoridge.settings.InstanceSettings;
+import org.mangoridge.settings.InstanceSettingsParser;
+import org.mangoridge.settings.ini.Problem;
+
+/** Runs an entry instance until it is told to stop. */
+public final class ServeCommand implements Command {
+
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "Run an entry instance.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options().addOption(null, "settings", true, "the settings file of the instance");
+    }
+
+    @Override
+    public ExitCode run(Invocation invocation) {
+        String file = invocation.requiredOption("settings");
+        Result<InstanceSettings, List<Problem>> settings;
+        try {
+            settings = InstanceSettingsParser.parse(file, Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            invocation.err().println(file + ": can't be read: " + e.getMessage());
+            return ExitCode.FAILED;
+        }
+        if (!settings.isOk()) {
+            settings.error().forEach(problem -> invocation.err().println(problem));
+            return ExitCode.FAILED;
+        }
+        SecureRandom seeds = new SecureRandom();
+        EntryInstance instance = EntryInstance.start(
+                settings.value(),
+                BaselinePolicy.create(new SplittableRandom(seeds.nextLong())),
+                SystemClock.instance(),
+                seeds);
+        invocation.out().println("callers at " + instance.callerAddress());
+        invocation.out().println("operators at " + instance.operatorAddress());
+        invocation.out().flush();
+        Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
+        awaitForever();
+        return ExitCode.DONE;
+    }
+
+    private static void awaitForever() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands, one class for each, and what they share. */
+package org.mangoridge.cli.command;
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration: the whole path on embedded stand-ins. */
+package org.mangoridge.cli.demo;
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the one binary. */
+package org.mangoridge.cli;
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/package-info.java
@@ -0,0 +1,2 @@
+/** Publication and adoption of configuration through the platform. */
+package org.mangoridge.config;
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/Field.java
@@ -0,0 +1,27 @@
+package org.mangoridge.core.event;
+
+import org.mangoridge.core.Checks;
+
+/**
+ * A named value of a logged event.
+ *
+ * @param name the name, without white space
+ * @param value the value; never a secret
+ */
+public record Field(String name, Object value) {
+
+    public Field {
+        Checks.notBlank(name, "field name");
+    }
+
+    /** Returns a field. */
+    public static Field of(String name, Object value) {
+        return new Field(name, value);
+    }
+
+    @Override
+    public String toString() {
+        String text = String.valueOf(value);
+        return text.indexOf(' ') < 0 ? name + "=" + text : name + "=\"" + text.replace('"', '\'') + "\"";
+    }
+}
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -0,0 +1,67 @@
+package org.mangoridge.core.event;
+
+import java.util.logging.Level;
+
+/**
+ * Every event that the system logs; numbers are never used again.
+ *
+ * <p>1xx: life of an instance. 2xx: requests. 3xx: backend servers. 4xx: configuration. 5xx: platform. 6xx: peers.
+ * 7xx: claims. 8xx: leases and orders.
+ */
+public enum LogEvent {
+    /** The instance listens. */
+    INSTANCE_STARTED(101, Level.INFO, "instance started"),
+    /** The instance takes no new requests. */
+    INSTANCE_DRAINING(102, Level.INFO, "instance draining"),
+    /** The instance ends. */
+    INSTANCE_STOPPED(103, Level.INFO, "instance stopped"),
+    /** A defect of the system. */
+    INTERNAL_ERROR(199, Level.SEVERE, "internal error"),
+    /** A request was refused. */
+    REQUEST_REFUSED(201, Level.INFO, "request refused"),
+    /** A caller went before its answer was complete. */
+    CALLER_GONE(202, Level.INFO, "caller gone"),
+    /** An answer that names another attempt was dropped. */
+    STALE_ANSWER_DROPPED(203, Level.WARNING, "answer of another attempt dropped"),
+    /** An attempt at a backend server failed. */
+    ATTEMPT_FAILED(301, Level.WARNING, "attempt failed"),
+    /** A cancel was not acknowledged in time. */
+    CANCEL_UNACKNOWLEDGED(302, Level.WARNING, "cancel not acknowledged"),
+    /** A load report could not be read. */
+    LOAD_REPORT_FAILED(303, Level.WARNING, "load report failed"),
+    /** A configuration came into force. */
+    CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
+    /** A configuration was rejected; the last good one stays in force. */
+    CONFIGURATION_REJECTED(402, Level.WARNING, "configuration rejected"),
+    /** The platform does not answer. */
+    PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
+    /** The platform answers again. */
+    PLATFORM_BACK(502, Level.INFO, "platform back");
+
+    private static final String PREFIX = "MR-";
+
+    private final int number;
+    private final Level level;
+    private final String text;
+
+    LogEvent(int number, Level level, String text) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+    }
+
+    /** Returns the event's name in logs and in the catalogue, such as {@code MR-101}. */
+    public String code() {
+        return PREFIX + number;
+    }
+
+    /** Returns the level that the event is logged at. */
+    public Level level() {
+        return level;
+    }
+
+    /** Returns what happened, in a few words. */
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.mangoridge.core.event;
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/net/package-info.java
@@ -0,0 +1,2 @@
+/** Addresses of processes. */
+package org.mangoridge.core.net;
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/package-info.java
@@ -0,0 +1,2 @@
+/** Argument checks and the result type that every module uses. */
+package org.mangoridge.core;
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/time/VirtualClock.java
@@ -0,0 +1,41 @@
+package org.mangoridge.core.time;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.mangoridge.core.Checks;
+
+/** A clock that moves only when told to. */
+public final class VirtualClock implements Clock {
+
+    private static final Instant ORIGIN = Instant.parse("2026-01-01T00:00:00Z");
+
+    private volatile Duration elapsed = Duration.ZERO;
+
+    private VirtualClock() {}
+
+    /** Returns a clock that stands at zero. */
+    public static VirtualClock create() {
+        return new VirtualClock();
+    }
+
+    /**
+     * Moves the clock forward.
+     *
+     * @throws IllegalArgumentException if {@code step} is negative
+     */
+    public synchronized void advance(Duration step) {
+        Checks.argument(!step.isNegative(), "clock must not go back: %s", step);
+        elapsed = elapsed.plus(step);
+    }
+
+    @Override
+    public Instant now() {
+        return ORIGIN.plus(elapsed);
+    }
+
+    @Override
+    public Duration elapsed() {
+        return elapsed;
+    }
+}
--- /dev/null
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/ModelEngine.java
@@ -0,0 +1,45 @@
+package org.mangoridge.engine;
+
+import java.util.List;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.InstanceId;
+
+/**
+ * One model engine.
+ *
+ * <p>Calls block for a bounded time and are made on traffic threads or timers. Safe for use by several threads.
+ */
+public interface ModelEngine {
+
+    /** Holds a decode slot and memory for an attempt. */
+    Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request);
+
+    /** Computes KV cache and returns when it is done. */
+    Result<EngineMessages.PrefillDone, EngineError> prefill(EngineMessages.PrefillRequest request);
+
+    /** Fetches KV cache from another engine and returns when it is here. */
+    Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request);
+
+    /** Starts generating tokens; the caller closes the stream. */
+    Result<TokenStream, EngineError> decode(EngineMessages.DecodeRequest request);
+
+    /** Releases everything held for {@code attempt}; idempotent. */
+    Result<EngineMessages.Released, EngineError> cancel(AttemptId attempt);
+
+    /** Lists what the engine holds for requests of {@code instance}. */
+    Result<List<EngineMessages.Held>, EngineError> held(InstanceId instance);
+
+    /** Returns the last report of load. */
+    Result<EngineMessages.LoadReport, EngineError> load();
+
+    /** Returns the events of the prefix cache after {@code sequence}. */
+    Result<List<EngineMessages.CacheEvent>, EngineError> cacheEvents(long sequence);
+
+    /** Gives an order; returns the engine's state when it is obeyed. */
+    Result<EngineMessages.EngineState, EngineError> order(EngineMessages.OrderRequest request);
+
+    /** Reads the engine's state. */
+    Result<EngineMessages.EngineState, EngineError> state();
+}
--- /dev/null
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/http/HttpModelEngine.java
@@ -0,0 +1,153 @@
+package org.mangoridge.engine.http;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.engine.EngineError;
+import org.mangoridge.engine.EngineMessages;
+import org.mangoridge.engine.ModelEngine;
+import org.mangoridge.engine.TokenStream;
+import org.mangoridge.http.HttpAnswer;
+import org.mangoridge.http.HttpCall;
+import org.mangoridge.http.HttpFailure;
+import org.mangoridge.http.HttpLines;
+import org.mangoridge.http.HttpTransport;
+import org.mangoridge.http.Json;
+
+/** An engine over HTTP, as {@code docs/ENGINE-PROTOCOL.md} describes it. */
+public final class HttpModelEngine implements ModelEngine {
+
+    private static final Duration SHORT_CALL = Duration.ofSeconds(2);
+    private static final Duration WORK_CALL = Duration.ofSeconds(30);
+    private static final Duration ORDER_CALL = Duration.ofSeconds(60);
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int CANCELLED = 499;
+    private static final int FULL = 429;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final HttpTransport transport;
+    private final HostPort address;
+
+    private HttpModelEngine(HttpTransport transport, HostPort address) {
+        this.transport = transport;
+        this.address = address;
+    }
+
+    /** Returns the engine at {@code address}. */
+    public static HttpModelEngine create(HttpTransport transport, HostPort address) {
+        return new HttpModelEngine(transport, address);
+    }
+
+    @Override
+    public Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request) {
+        return post("/v1/reservations", request, SHORT_CALL, EngineMessages.Reserved.class);
+    }
+
+    @Override
+    public Result<EngineMessages.PrefillDone, EngineError> prefill(EngineMessages.PrefillRequest request) {
+        return post("/v1/prefills", request, WORK_CALL, EngineMessages.PrefillDone.class);
+    }
+
+    @Override
+    public Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request) {
+        return post("/v1/imports", request, WORK_CALL, EngineMessages.Imported.class);
+    }
+
+    @Override
+    public Result<TokenStream, EngineError> decode(EngineMessages.DecodeRequest request) {
+        HttpCall call = HttpCall.postJson(address.httpUri("/v1/decodes"), request, WORK_CALL);
+        return switch (transport.open(call)) {
+            case Result.Err<HttpLines, HttpFailure> err -> Result.err(lost(err.error()));
+            case Result.Ok<HttpLines, HttpFailure> ok
+            when ok.value().status() == OK ->
+                Result.ok(new HttpTokenStream(AttemptId.parse(request.attempt()), ok.value()));
+            case Result.Ok<HttpLines, HttpFailure> ok -> Result.err(refusedStream(ok.value()));
+        };
+    }
+
+    @Override
+    public Result<EngineMessages.Released, EngineError> cancel(AttemptId attempt) {
+        HttpCall call = HttpCall.delete(address.httpUri("/v1/attempts/" + attempt), SHORT_CALL);
+        return decodeAnswer(transport.send(call), EngineMessages.Released.class);
+    }
+
+    @Override
+    public Result<List<EngineMessages.Held>, EngineError> held(InstanceId instance) {
+        return get("/v1/attempts?instance=" + instance, EngineMessages.HeldList.class)
+                .map(EngineMessages.HeldList::held);
+    }
+
+    @Override
+    public Result<EngineMessages.LoadReport, EngineError> load() {
+        return get("/v1/load", EngineMessages.LoadReport.class);
+    }
+
+    @Override
+    public Result<List<EngineMessages.CacheEvent>, EngineError> cacheEvents(long sequence) {
+        return get("/v1/cache-events?after=" + sequence, EngineMessages.CacheEvents.class)
+                .map(EngineMessages.CacheEvents::events);
+    }
+
+    @Override
+    public Result<EngineMessages.EngineState, EngineError> order(EngineMessages.OrderRequest request) {
+        return post("/v1/orders", request, ORDER_CALL, EngineMessages.EngineState.class);
+    }
+
+    @Override
+    public Result<EngineMessages.EngineState, EngineError> state() {
+        return get("/v1/state", EngineMessages.EngineState.class);
+    }
+
+    private <T> Result<T, EngineError> get(String path, Class<T> type) {
+        return decodeAnswer(transport.send(HttpCall.get(address.httpUri(path), SHORT_CALL)), type);
+    }
+
+    private <T> Result<T, EngineError> post(String path, Object message, Duration timeout, Class<T> type) {
+        return decodeAnswer(transport.send(HttpCall.postJson(address.httpUri(path), message, timeout)), type);
+    }
+
+    private static <T> Result<T, EngineError> decodeAnswer(Result<HttpAnswer, HttpFailure> sent, Class<T> type) {
+        return switch (sent) {
+            case Result.Err<HttpAnswer, HttpFailure> err -> Result.err(lost(err.error()));
+            case Result.Ok<HttpAnswer, HttpFailure> ok
+            when !ok.value().isSuccess() ->
+                Result.err(refused(ok.value().status(), ok.value().text()));
+            case Result.Ok<HttpAnswer, HttpFailure> ok ->
+                switch (Json.read(ok.value().body(), type)) {
+                    case Result.Ok<T, String> read -> Result.ok(read.value());
+                    case Result.Err<T, String> unreadable ->
+                        Result.err(new EngineError.Failed("unreadable answer: " + unreadable.error()));
+                };
+        };
+    }
+
+    private static EngineError refusedStream(HttpLines stream) {
+        try (stream) {
+            Result<String, HttpFailure> text = stream.remainingText(SHORT_CALL);
+            return refused(
+                    stream.status(), text.isOk() ? text.value() : text.error().detail());
+        }
+    }
+
+    private static EngineError refused(int status, String detail) {
+        return switch (status) {
+            case FULL -> new EngineError.Full(Optional.empty());
+            case GONE -> new EngineError.Evicted();
+            case CANCELLED -> new EngineError.Cancelled();
+            default ->
+                status >= FIRST_SERVER_ERROR
+                        ? new EngineError.Failed(detail)
+                        : new EngineError.Rejected(status, detail);
+        };
+    }
+
+    static EngineError lost(HttpFailure failure) {
+        return new EngineError.Lost(failure.progress(), failure.detail());
+    }
+}
--- /dev/null
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/http/package-info.java
@@ -0,0 +1,2 @@
+/** Model engines over HTTP. */
+package org.mangoridge.engine.http;
--- /dev/null
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Plain services beside the model engines. */
+package org.mangoridge.engine.plain;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/CallerEndpoint.java
@@ -0,0 +1,71 @@
+package org.mangoridge.entry;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.entry.auth.CallerAuthenticator;
+import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.model.ModelRequestHandler;
+import org.mangoridge.entry.openai.ModelRequest;
+import org.mangoridge.entry.plain.PlainRequestHandler;
+import org.mangoridge.entry.reply.Replies;
+import org.mangoridge.entry.reply.RequestIds;
+import org.mangoridge.settings.deployment.Caller;
+import org.mangoridge.settings.deployment.Deployment;
+import org.mangoridge.web.WebHandler;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+
+/** Answers callers: finds out who asks and hands the request on under one configuration. */
+final class CallerEndpoint implements WebHandler {
+
+    private final RequestIds ids;
+    private final Supplier<ConfigInForce> config;
+    private final BooleanSupplier draining;
+    private final ModelRequestHandler models;
+    private final PlainRequestHandler plain;
+
+    CallerEndpoint(
+            RequestIds ids,
+            Supplier<ConfigInForce> config,
+            BooleanSupplier draining,
+            ModelRequestHandler models,
+            PlainRequestHandler plain) {
+        this.ids = ids;
+        this.config = config;
+        this.draining = draining;
+        this.models = models;
+        this.plain = plain;
+    }
+
+    @Override
+    public WebReply handle(WebRequest web) {
+        RequestId id = ids.next();
+        if (draining.getAsBoolean()) {
+            return Replies.refused(id, Refusal.notRun(RefusalReason.DRAINING, "the instance is shutting down"));
+        }
+        ConfigInForce inForce = config.get();
+        if (!inForce.isAdopted()) {
+            return Replies.refused(
+                    id, Refusal.notRun(RefusalReason.NOT_READY, "the instance has no configuration yet"));
+        }
+        Deployment deployment = inForce.deployment();
+        Optional<Caller> caller = CallerAuthenticator.authenticate(web.headers(), deployment);
+        if (caller.isEmpty()) {
+            return Replies.refused(
+                    id, Refusal.notRun(RefusalReason.BAD_KEY, "the key is missing or unknown: Bearer CALLER.SECRET"));
+        }
+        if (web.path().startsWith(PlainRequestHandler.PREFIX)) {
+            return plain.handle(id, caller.get(), deployment, web);
+        }
+        if (web.is("POST", ModelRequest.COMPLETIONS_PATH) || web.is("POST", ModelRequest.CHAT_PATH)) {
+            return models.handle(id, caller.get(), deployment, web);
+        }
+        return Replies.refused(
+                id, Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "nothing is served at this method and path"));
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -0,0 +1,139 @@
+package org.mangoridge.entry;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.config.ConfigRepository;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.Incarnation;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.engine.EngineDirectory;
+import org.mangoridge.engine.http.HttpModelEngine;
+import org.mangoridge.engine.plain.HttpPlainService;
+import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.config.ConfigFollower;
+import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.entry.model.LoadPoller;
+import org.mangoridge.entry.model.ModelRequestHandler;
+import org.mangoridge.entry.model.RoutingDriver;
+import org.mangoridge.entry.plain.PlainRequestHandler;
+import org.mangoridge.entry.reply.RequestIds;
+import org.mangoridge.http.HttpTransport;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.http.HttpObjectStore;
+import org.mangoridge.routing.RoutingEvent;
+import org.mangoridge.routing.RoutingPolicy;
+import org.mangoridge.settings.InstanceSettings;
+import org.mangoridge.web.WebServer;
+
+/** One running entry instance. */
+public final class EntryInstance implements AutoCloseable {
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final int CALLER_EVENT_LOOPS = 2;
+    private static final int OPERATOR_EVENT_LOOPS = 1;
+    private static final int MAX_OPERATOR_BODY_BYTES = 1 << 20;
+
+    private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+    private final Owner owner;
+    private volatile ConfigFollower follower;
+    private WebServer callerServer;
+    private WebServer operatorServer;
+
+    private EntryInstance(Owner owner) {
+        this.owner = owner;
+    }
+
+    /**
+     * Starts an instance.
+     *
+     * @param settings its settings
+     * @param policy decides about model requests
+     * @param random draws random numbers; safe for use by several threads
+     * @throws IllegalStateException if an address can't be listened on
+     */
+    public static EntryInstance start(
+            InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
+        Owner owner = new Owner(settings.id(), Incarnation.of(clock.now().toEpochMilli()));
+        EntryInstance instance = new EntryInstance(owner);
+        try {
+            instance.wire(settings, policy, clock, random);
+        } catch (RuntimeException e) {
+            instance.close();
+            throw e;
+        }
+        EventLog.write(
+                LogEvent.INSTANCE_STARTED,
+                Field.of("instance", owner),
+                Field.of("zone", settings.zone()),
+                Field.of("callers", instance.callerAddress()),
+                Field.of("operators", instance.operatorAddress()));
+        return instance;
+    }
+
+    /** Returns the address that callers connect to. */
+    public HostPort callerAddress() {
+        return callerServer.address();
+    }
+
+    /** Returns the address that operators connect to. */
+    public HostPort operatorAddress() {
+        return operatorServer.address();
+    }
+
+    /** Stops at once; requests in progress are cut. */
+    @Override
+    public void close() {
+        while (!parts.isEmpty()) {
+            try {
+                parts.pop().close();
+            } catch (Exception e) {
+                EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("where", "close"));
+            }
+        }
+        EventLog.write(LogEvent.INSTANCE_STOPPED, Field.of("instance", owner));
+    }
+
+    private void wire(InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
+        ControlLoop control = own(ControlLoop.start("control-" + settings.id()));
+        HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
+        MetricRegistry metrics = new MetricRegistry();
+        AccountLedger accounts = AccountLedger.create(control, metrics);
+        RoutingDriver driver = RoutingDriver.create(control, clock, policy);
+        control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
+        EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
+        ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+        follower = own(ConfigFollower.start(
+                ConfigRepository.create(store),
+                config -> driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()))));
+        own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
+        ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
+        PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
+        CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
+        OperatorEndpoint operators = new OperatorEndpoint(owner, this::config, metrics, accounts);
+        operatorServer = own(
+                WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
+        callerServer =
+                own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
+    }
+
+    private ConfigInForce config() {
+        ConfigFollower current = follower;
+        return current == null ? ConfigInForce.none() : current.inForce();
+    }
+
+    private <T extends AutoCloseable> T own(T part) {
+        parts.push(part);
+        return part;
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -0,0 +1,89 @@
+package org.mangoridge.entry;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.metrics.PrometheusText;
+import org.mangoridge.routing.accounting.CallerUse;
+import org.mangoridge.web.ErrorBody;
+import org.mangoridge.web.WebHandler;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+
+/** Answers operators. */
+final class OperatorEndpoint implements WebHandler {
+
+    /**
+     * The state of an instance.
+     *
+     * @param instance its name
+     * @param incarnation its run
+     * @param generation the configuration in force
+     * @param hash the hash of its text
+     * @param ready whether it takes requests
+     */
+    record Status(String instance, long incarnation, long generation, String hash, boolean ready) {}
+
+    /**
+     * What one caller's requests came to.
+     *
+     * @param caller the caller
+     * @param served requests answered whole
+     * @param refused requests refused
+     * @param abandoned requests whose caller went
+     * @param promptTokens prompt tokens of served requests
+     * @param outputTokens tokens generated
+     */
+    record Account(String caller, long served, long refused, long abandoned, long promptTokens, long outputTokens) {}
+
+    private final Owner owner;
+    private final Supplier<ConfigInForce> config;
+    private final MetricRegistry metrics;
+    private final AccountLedger accounts;
+
+    OperatorEndpoint(Owner owner, Supplier<ConfigInForce> config, MetricRegistry metrics, AccountLedger accounts) {
+        this.owner = owner;
+        this.config = config;
+        this.metrics = metrics;
+        this.accounts = accounts;
+    }
+
+    @Override
+    public WebReply handle(WebRequest web) {
+        ConfigInForce inForce = config.get();
+        return switch (web.method() + " " + web.path()) {
+            case "GET /ready" ->
+                inForce.isAdopted() ? WebReply.text(200, "ready\n") : WebReply.text(503, "no configuration yet\n");
+            case "GET /metrics" -> WebReply.text(200, PrometheusText.of(metrics));
+            case "GET /status" ->
+                WebReply.json(
+                        200,
+                        new Status(
+                                owner.instance().value(),
+                                owner.incarnation().value(),
+                                inForce.generation().value(),
+                                inForce.hash(),
+                                inForce.isAdopted()));
+            case "GET /accounts" -> WebReply.json(200, accountList());
+            default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
+        };
+    }
+
+    private List<Account> accountList() {
+        return accounts.uses().join().stream().map(OperatorEndpoint::account).toList();
+    }
+
+    private static Account account(CallerUse use) {
+        return new Account(
+                use.caller().value(),
+                use.served(),
+                use.refused(),
+                use.abandoned(),
+                use.promptTokens(),
+                use.outputTokens());
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/accounts/package-info.java
@@ -0,0 +1,2 @@
+/** Accounts of callers, kept on the control thread. */
+package org.mangoridge.entry.accounts;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/auth/package-info.java
@@ -0,0 +1,2 @@
+/** Who a caller or operator is. */
+package org.mangoridge.entry.auth;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/package-info.java
@@ -0,0 +1,2 @@
+/** Following the configuration in force. */
+package org.mangoridge.entry.config;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/control/package-info.java
@@ -0,0 +1,2 @@
+/** The one thread that owns control state. */
+package org.mangoridge.entry.control;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in the Prometheus text format. */
+package org.mangoridge.entry.metrics;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
@@ -0,0 +1,162 @@
+package org.mangoridge.entry.model;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.verdict.AttemptProgress;
+import org.mangoridge.engine.EngineError;
+import org.mangoridge.engine.EngineMessages;
+import org.mangoridge.engine.TokenStream;
+import org.mangoridge.routing.AttemptOutcome;
+import org.mangoridge.routing.Placement;
+import org.mangoridge.routing.RoutingEvent;
+
+/** The stages of one attempt up to its token stream: reserve, prefill, import, decode. */
+final class AttemptStages {
+
+    private static final long RESERVATION_TTL_MILLIS = 10_000;
+
+    private final AttemptContext context;
+    private final RoutingDriver driver;
+    private final AttemptId attempt;
+    private final Placement placement;
+
+    AttemptStages(AttemptContext context, RoutingDriver driver, AttemptId attempt, Placement placement) {
+        this.context = context;
+        this.driver = driver;
+        this.attempt = attempt;
+        this.placement = placement;
+    }
+
+    /** Returns the attempt's id. */
+    AttemptId attempt() {
+        return attempt;
+    }
+
+    /** Runs the stages; {@code generated} holds the {@code outputTokens} tokens that the caller already has. */
+    Result<TokenStream, AttemptOutcome.Failed> open(String generated, int outputTokens) {
+        if (placement.reserveFirst()) {
+            return reserve(outputTokens)
+                    .flatMap(reserved -> placement.transfers() ? prefill(generated, outputTokens) : Result.ok(null))
+                    .flatMap(prefilled -> prefilled == null ? Result.ok(null) : importKv(prefilled, outputTokens))
+                    .flatMap(imported -> decode(generated, outputTokens));
+        }
+        if (!placement.transfers()) {
+            return reserve(outputTokens).flatMap(reserved -> decode(generated, outputTokens));
+        }
+        return prefill(generated, outputTokens)
+                .flatMap(prefilled -> reserve(outputTokens).map(reserved -> prefilled))
+                .flatMap(prefilled -> importKv(prefilled, outputTokens))
+                .flatMap(imported -> decode(generated, outputTokens));
+    }
+
+    /** Releases whatever the attempt holds at its servers; idempotent. */
+    void release() {
+        release(placement.decode());
+        if (placement.transfers()) {
+            release(placement.prefill());
+        }
+    }
+
+    /** Returns the failure that {@code error} of the decode server means. */
+    AttemptOutcome.Failed decodeFailed(EngineError error, int outputTokens) {
+        return failed(placement.decode(), error, outputTokens);
+    }
+
+    private Result<EngineMessages.Reserved, AttemptOutcome.Failed> reserve(int outputTokens) {
+        EngineMessages.ReserveRequest message = new EngineMessages.ReserveRequest(
+                attempt.toString(),
+                context.owner().instance().value(),
+                context.owner().incarnation().value(),
+                context.request().promptTokens() + context.request().maxTokens(),
+                RESERVATION_TTL_MILLIS,
+                placement.priority());
+        return check(placement.decode(), context.engine(placement.decode()).reserve(message), outputTokens);
+    }
+
+    private Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> prefill(String generated, int outputTokens) {
+        EngineMessages.PrefillRequest message = new EngineMessages.PrefillRequest(
+                attempt.toString(),
+                context.owner().instance().value(),
+                context.owner().incarnation().value(),
+                context.service().model().value(),
+                context.service().version(),
+                context.request().prompt() + generated,
+                placement.priority());
+        Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> result =
+                check(placement.prefill(), context.engine(placement.prefill()).prefill(message), outputTokens);
+        if (result.isOk()) {
+            EngineMessages.PrefillDone done = result.value();
+            driver.tell(new RoutingEvent.PrefillDone(attempt, done.promptTokens(), done.cachedTokens()));
+        }
+        return result;
+    }
+
+    private Result<EngineMessages.Imported, AttemptOutcome.Failed> importKv(
+            EngineMessages.PrefillDone prefilled, int outputTokens) {
+        String source = context.server(placement.prefill()).address().toString();
+        EngineMessages.ImportRequest message =
+                new EngineMessages.ImportRequest(attempt.toString(), prefilled.handle(), source);
+        return check(placement.decode(), context.engine(placement.decode()).importKv(message), outputTokens);
+    }
+
+    private Result<TokenStream, AttemptOutcome.Failed> decode(String generated, int outputTokens) {
+        EngineMessages.DecodeRequest message = new EngineMessages.DecodeRequest(
+                attempt.toString(),
+                context.owner().instance().value(),
+                context.owner().incarnation().value(),
+                context.service().model().value(),
+                context.service().version(),
+                context.request().prompt(),
+                generated,
+                outputTokens,
+                context.request().maxTokens(),
+                placement.priority());
+        return check(placement.decode(), context.engine(placement.decode()).decode(message), outputTokens);
+    }
+
+    private <T> Result<T, AttemptOutcome.Failed> check(
+            ServerId server, Result<T, EngineError> result, int outputTokens) {
+        return switch (result) {
+            case Result.Ok<T, EngineError> ok -> Result.ok(ok.value());
+            case Result.Err<T, EngineError> err -> Result.err(failed(server, err.error(), outputTokens));
+        };
+    }
+
+    private void release(ServerId server) {
+        Result<EngineMessages.Released, EngineError> released =
+                context.engine(server).cancel(attempt);
+        if (!released.isOk()) {
+            EventLog.write(
+                    LogEvent.CANCEL_UNACKNOWLEDGED,
+                    Field.of("attempt", attempt),
+                    Field.of("server", server),
+                    Field.of("detail", released.error().detail()));
+        }
+    }
+
+    private AttemptOutcome.Failed failed(ServerId server, EngineError error, int outputTokens) {
+        EventLog.write(
+                LogEvent.ATTEMPT_FAILED,
+                Field.of("attempt", attempt),
+                Field.of("server", server),
+                Field.of("detail", error.detail()));
+        return new AttemptOutcome.Failed(server, kind(error), error.verdict(), outputTokens);
+    }
+
+    private static AttemptOutcome.FailureKind kind(EngineError error) {
+        return switch (error) {
+            case EngineError.Lost lost
+            when lost.progress() == AttemptProgress.BEFORE_CONNECT -> AttemptOutcome.FailureKind.UNREACHABLE;
+            case EngineError.Lost lost -> AttemptOutcome.FailureKind.BROKEN;
+            case EngineError.Full full -> AttemptOutcome.FailureKind.FULL;
+            case EngineError.Evicted evicted -> AttemptOutcome.FailureKind.EVICTED;
+            case EngineError.Cancelled cancelled -> AttemptOutcome.FailureKind.ERROR;
+            case EngineError.Rejected rejected -> AttemptOutcome.FailureKind.ERROR;
+            case EngineError.Failed failed -> AttemptOutcome.FailureKind.ERROR;
+        };
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
@@ -0,0 +1,214 @@
+package org.mangoridge.entry.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.engine.EngineDirectory;
+import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.openai.AnswerFormat;
+import org.mangoridge.entry.openai.ModelRequest;
+import org.mangoridge.entry.reply.Replies;
+import org.mangoridge.http.Json;
+import org.mangoridge.routing.RequestFacts;
+import org.mangoridge.routing.RoutingEvent;
+import org.mangoridge.settings.deployment.Caller;
+import org.mangoridge.settings.deployment.CallerClass;
+import org.mangoridge.settings.deployment.Deployment;
+import org.mangoridge.settings.deployment.Service;
+import org.mangoridge.settings.deployment.ServiceKind;
+import org.mangoridge.web.StreamSink;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+
+/** Answers model requests; called on the request's own thread. */
+public final class ModelRequestHandler {
+
+    private final RoutingDriver driver;
+    private final EngineDirectory engines;
+    private final Owner owner;
+    private final Clock clock;
+    private final AccountLedger accounts;
+
+    private ModelRequestHandler(
+            RoutingDriver driver, EngineDirectory engines, Owner owner, Clock clock, AccountLedger accounts) {
+        this.driver = driver;
+        this.engines = engines;
+        this.owner = owner;
+        this.clock = clock;
+        this.accounts = accounts;
+    }
+
+    /** Returns a handler of the requests of {@code owner}. */
+    public static ModelRequestHandler create(
+            RoutingDriver driver, EngineDirectory engines, Owner owner, Clock clock, AccountLedger accounts) {
+        return new ModelRequestHandler(driver, engines, owner, clock, accounts);
+    }
+
+    /** Answers one request of {@code caller} under one configuration. */
+    public WebReply handle(RequestId id, Caller caller, Deployment deployment, WebRequest web) {
+        Result<ModelRequest, Refusal> parsed = ModelRequest.parse(web.path(), web.body());
+        if (!parsed.isOk()) {
+            return refuse(id, caller, parsed.error());
+        }
+        ModelRequest request = parsed.value();
+        Service service = deployment
+                .service(request.service())
+                .filter(found -> found.kind() == ServiceKind.MODEL)
+                .orElse(null);
+        if (service == null) {
+            return refuse(
+                    id,
+                    caller,
+                    Refusal.notRun(
+                            RefusalReason.UNKNOWN_SERVICE, "there is no model service named " + request.service()));
+        }
+        RequestFacts facts = facts(id, caller, deployment, service, request);
+        Result<RoutingDriver.Start, Refusal> first = await(facts, driver.arrived(facts));
+        return switch (first) {
+            case Result.Err<RoutingDriver.Start, Refusal> err -> refuse(id, caller, err.error());
+            case Result.Ok<RoutingDriver.Start, Refusal> ok ->
+                new Exchange(facts, request, deployment, service, web).answer(ok.value());
+        };
+    }
+
+    private RequestFacts facts(
+            RequestId id, Caller caller, Deployment deployment, Service service, ModelRequest request) {
+        CallerClass callerClass = deployment.callerClass(caller.callerClass()).orElseThrow();
+        Duration now = clock.elapsed();
+        return new RequestFacts(
+                id,
+                caller,
+                callerClass,
+                service.id(),
+                request.promptTokens(),
+                request.maxTokens(),
+                List.of(),
+                now,
+                now.plus(service.timeout()));
+    }
+
+    private Result<RoutingDriver.Start, Refusal> await(
+            RequestFacts facts, Future<Result<RoutingDriver.Start, Refusal>> decision) {
+        Duration remaining = facts.deadline().minus(clock.elapsed());
+        try {
+            return decision.get(Math.max(1, remaining.toMillis()), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
+            return Result.err(Refusal.notRun(RefusalReason.DEADLINE, "the deadline passed in the queue"));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
+            return Result.err(Refusal.notRun(RefusalReason.DRAINING, "the instance is stopping"));
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    private WebReply refuse(RequestId id, Caller caller, Refusal refusal) {
+        accounts.refused(caller.id());
+        EventLog.write(
+                LogEvent.REQUEST_REFUSED,
+                Field.of("request", id),
+                Field.of("caller", caller.id()),
+                Field.of("reason", refusal.reason().code()),
+                Field.of("verdict", refusal.verdict().text()));
+        return Replies.refused(id, refusal);
+    }
+
+    /** One admitted request, on its own thread. */
+    private final class Exchange {
+
+        private final RequestFacts facts;
+        private final ModelRequest request;
+        private final AnswerFormat format;
+        private final WebRequest web;
+        private final AttemptContext context;
+
+        private Exchange(
+                RequestFacts facts, ModelRequest request, Deployment deployment, Service service, WebRequest web) {
+            this.facts = facts;
+            this.request = request;
+            this.web = web;
+            this.context = new AttemptContext(engines, owner, deployment, service, request);
+            this.format = new AnswerFormat(
+                    facts.id(), service.id(), request.chat(), clock.now().getEpochSecond());
+        }
+
+        /** Waits for the first token before the status is chosen, so that a refusal has its own. */
+        private WebReply answer(RoutingDriver.Start start) {
+            Generation generation = new Generation(
+                    context, driver, start, (attempt, failed) -> await(facts, driver.failed(attempt, failed)));
+            Generation.Step step = generation.next();
+            if (step instanceof Generation.Token token && request.stream()) {
+                return WebReply.events(Replies.served(facts.id()), sink -> stream(generation, token, sink));
+            }
+            while (step instanceof Generation.Token && !web.disconnect().isGone()) {
+                step = generation.next();
+            }
+            return switch (step) {
+                case Generation.Token token -> {
+                    gone(generation);
+                    yield new WebReply.Dropped();
+                }
+                case Generation.Whole whole -> whole(generation, whole.finish());
+                case Generation.GivenUp givenUp -> refuse(facts.id(), facts.caller(), givenUp.refusal());
+            };
+        }
+
+        private WebReply whole(Generation generation, String finish) {
+            served(generation);
+            return WebReply.json(
+                    200,
+                    Replies.served(facts.id()),
+                    format.whole(generation.text(), finish, request.promptTokens(), generation.outputTokens()));
+        }
+
+        private void stream(Generation generation, Generation.Token first, StreamSink sink) {
+            Generation.Step step = first;
+            while (step instanceof Generation.Token token) {
+                if (web.disconnect().isGone() || !sink.writeEvent(format.piece(token.text()))) {
+                    gone(generation);
+                    sink.abort();
+                    return;
+                }
+                step = generation.next();
+            }
+            if (step instanceof Generation.GivenUp givenUp) {
+                accounts.refused(facts.caller().id());
+                Refusal cut = Refusal.of(
+                        givenUp.refusal().reason(),
+                        Verdict.RAN,
+                        givenUp.refusal().detail());
+                sink.writeEvent(Json.text(Replies.errorBody(facts.id(), cut)));
+                return;
+            }
+            served(generation);
+            sink.writeEvent(format.lastPiece(((Generation.Whole) step).finish()));
+            sink.writeEvent(AnswerFormat.DONE);
+        }
+
+        private void served(Generation generation) {
+            accounts.served(facts.caller().id(), request.promptTokens(), generation.outputTokens());
+        }
+
+        private void gone(Generation generation) {
+            generation.abandon();
+            accounts.abandoned(facts.caller().id(), generation.outputTokens());
+            EventLog.write(LogEvent.CALLER_GONE, Field.of("request", facts.id()));
+        }
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/RoutingDriver.java
@@ -0,0 +1,94 @@
+package org.mangoridge.entry.model;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.routing.AttemptOutcome;
+import org.mangoridge.routing.Placement;
+import org.mangoridge.routing.RequestFacts;
+import org.mangoridge.routing.RoutingAction;
+import org.mangoridge.routing.RoutingEvent;
+import org.mangoridge.routing.RoutingPolicy;
+
+/** Runs a routing policy on the control thread and gives its decisions to traffic threads. */
+public final class RoutingDriver {
+
+    /**
+     * A decision to start an attempt.
+     *
+     * @param attempt the attempt
+     * @param placement its servers
+     */
+    public record Start(AttemptId attempt, Placement placement) {}
+
+    private final ControlLoop control;
+    private final Clock clock;
+    private final RoutingPolicy policy;
+    private final Map<RequestId, CompletableFuture<Result<Start, Refusal>>> waiting = new HashMap<>();
+
+    private RoutingDriver(ControlLoop control, Clock clock, RoutingPolicy policy) {
+        this.control = control;
+        this.clock = clock;
+        this.policy = policy;
+    }
+
+    /** Returns a driver of {@code policy}, which only the control thread then uses. */
+    public static RoutingDriver create(ControlLoop control, Clock clock, RoutingPolicy policy) {
+        return new RoutingDriver(control, clock, policy);
+    }
+
+    /** Gives the first decision on a request, possibly after it was queued. */
+    public CompletableFuture<Result<Start, Refusal>> arrived(RequestFacts facts) {
+        return decide(facts.id(), new RoutingEvent.RequestArrived(facts));
+    }
+
+    /** Gives the decision that follows a failed attempt. */
+    public CompletableFuture<Result<Start, Refusal>> failed(AttemptId attempt, AttemptOutcome.Failed outcome) {
+        return decide(attempt.request(), new RoutingEvent.AttemptEnded(attempt, outcome));
+    }
+
+    /** Tells the policy of an event that needs no decision. */
+    public void tell(RoutingEvent event) {
+        control.post(() -> apply(event));
+    }
+
+    private CompletableFuture<Result<Start, Refusal>> decide(RequestId request, RoutingEvent event) {
+        CompletableFuture<Result<Start, Refusal>> decision = new CompletableFuture<>();
+        control.post(() -> {
+            waiting.put(request, decision);
+            apply(event);
+        });
+        return decision;
+    }
+
+    private void apply(RoutingEvent event) {
+        List<RoutingAction> actions = policy.on(event, clock.elapsed());
+        actions.forEach(this::carryOut);
+        if (event instanceof RoutingEvent.RequestAbandoned abandoned) {
+            waiting.remove(abandoned.request());
+        }
+    }
+
+    private void carryOut(RoutingAction action) {
+        switch (action) {
+            case RoutingAction.Place place ->
+                complete(place.attempt().request(), Result.ok(new Start(place.attempt(), place.placement())));
+            case RoutingAction.Refuse refuse -> complete(refuse.request(), Result.err(refuse.refusal()));
+        }
+    }
+
+    private void complete(RequestId request, Result<Start, Refusal> decision) {
+        CompletableFuture<Result<Start, Refusal>> future = waiting.remove(request);
+        if (future != null) {
+            future.complete(decision);
+        }
+    }
+}
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/openai/package-info.java
@@ -0,0 +1,2 @@
+/** The OpenAI-compatible form of model requests and answers. */
+package org.mangoridge.entry.openai;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Calls of plain services. */
+package org.mangoridge.entry.plain;
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/reply/package-info.java
@@ -0,0 +1,2 @@
+/** Answers that every caller gets. */
+package org.mangoridge.entry.reply;
--- /dev/null
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Leases, and orders to engines given by their holders. */
+package org.mangoridge.orders;
--- /dev/null
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Entry instances talking to each other over Thrift. */
+package org.mangoridge.peer;
--- /dev/null
+++ b/mangoridge-platform/src/main/java/org/mangoridge/platform/Precondition.java
@@ -0,0 +1,25 @@
+package org.mangoridge.platform;
+
+/** What must hold for a write to take effect. */
+public sealed interface Precondition {
+
+    /** The object does not exist. */
+    record Absent() implements Precondition {}
+
+    /**
+     * The object has the version that the writer read.
+     *
+     * @param version the version
+     */
+    record AtVersion(long version) implements Precondition {}
+
+    /** Returns the condition that the object does not exist. */
+    static Precondition absent() {
+        return new Absent();
+    }
+
+    /** Returns the condition that the object has {@code version}. */
+    static Precondition atVersion(long version) {
+        return new AtVersion(version);
+    }
+}
--- /dev/null
+++ b/mangoridge-platform/src/main/java/org/mangoridge/platform/StoreFailure.java
@@ -0,0 +1,8 @@
+package org.mangoridge.platform;
+
+/**
+ * A read that the platform did not answer.
+ *
+ * @param detail why
+ */
+public record StoreFailure(String detail) {}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Placement.java
@@ -0,0 +1,19 @@
+package org.mangoridge.routing;
+
+import org.mangoridge.core.id.ServerId;
+
+/**
+ * The servers of one attempt.
+ *
+ * @param prefill computes KV cache; the same as {@code decode} if no transfer is needed
+ * @param decode generates tokens
+ * @param reserveFirst whether a decode slot is reserved before prefill begins
+ * @param priority the priority given to the engines, greater is served first
+ */
+public record Placement(ServerId prefill, ServerId decode, boolean reserveFirst, int priority) {
+
+    /** Tells whether KV cache moves between servers. */
+    public boolean transfers() {
+        return !prefill.equals(decode);
+    }
+}
--- /dev/null
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/DeploymentParser.java
@@ -0,0 +1,155 @@
+package org.mangoridge.settings.deployment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.CallerClassId;
+import org.mangoridge.core.id.CallerId;
+import org.mangoridge.core.id.ModelId;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.id.WorkspaceId;
+import org.mangoridge.settings.ini.IniFile;
+import org.mangoridge.settings.ini.IniSection;
+import org.mangoridge.settings.ini.Problem;
+import org.mangoridge.settings.ini.SectionReader;
+import org.mangoridge.settings.ini.Values;
+
+/** Turns merged sections into a checked {@link Deployment}. */
+public final class DeploymentParser {
+
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration DEFAULT_MAX_WAIT = Duration.ofSeconds(30);
+    private static final int DEFAULT_SHARE = 1;
+    private static final int MAX_SHARE = 1000;
+    private static final List<String> SAFE_METHODS = List.of("GET", "HEAD", "OPTIONS");
+
+    private final List<Problem> problems = new ArrayList<>();
+    private final List<Service> services = new ArrayList<>();
+    private final List<CallerClass> classes = new ArrayList<>();
+    private final List<Caller> callers = new ArrayList<>();
+    private final List<Server> servers = new ArrayList<>();
+
+    private DeploymentParser() {}
+
+    /** Returns the deployment that {@code sections} describe, or everything that is wrong with them. */
+    public static Result<Deployment, List<Problem>> parse(List<IniSection> sections) {
+        DeploymentParser parser = new DeploymentParser();
+        sections.forEach(parser::section);
+        if (parser.problems.isEmpty()) {
+            parser.checkReferences(sections);
+        }
+        if (!parser.problems.isEmpty()) {
+            return Result.err(List.copyOf(parser.problems));
+        }
+        return Result.ok(Deployment.of(parser.services, parser.classes, parser.callers, parser.servers));
+    }
+
+    /** Returns the deployment written in {@code text}, one INI text, or everything that is wrong with it. */
+    public static Result<Deployment, List<Problem>> parseText(String name, String text) {
+        return switch (IniFile.parse(name, text)) {
+            case Result.Ok<List<IniSection>, Problem> ok -> parse(ok.value());
+            case Result.Err<List<IniSection>, Problem> err -> Result.err(List.of(err.error()));
+        };
+    }
+
+    private void section(IniSection section) {
+        if (section.name().isEmpty()) {
+            problems.add(new Problem(section.origin(), section.heading(), "expected [" + section.kind() + " NAME]"));
+            return;
+        }
+        SectionReader reader = new SectionReader(section, problems);
+        switch (section.kind()) {
+            case "service" -> service(section, reader);
+            case "class" -> callerClass(section, reader);
+            case "caller" -> caller(section, reader);
+            case "server" -> server(section, reader);
+            default -> {
+                problems.add(new Problem(
+                        section.origin(),
+                        section.heading(),
+                        "unknown section; accepted: service NAME, class NAME, caller NAME, server NAME"));
+                return;
+            }
+        }
+        reader.finish();
+    }
+
+    private void service(IniSection section, SectionReader reader) {
+        ServiceKind kind = reader.required("kind", text -> Values.choice(text, ServiceKind.class));
+        boolean isModel = kind == ServiceKind.MODEL;
+        ModelId model = isModel ? reader.required("model", ModelId::of) : null;
+        String version = isModel ? reader.required("version", text -> text) : "";
+        Duration timeout = reader.optional("timeout", Values::duration, DEFAULT_TIMEOUT);
+        List<String> idempotent = reader.optional("idempotent-methods", Values::words, SAFE_METHODS);
+        if (kind != null) {
+            services.add(new Service(
+                    ServiceId.of(section.name()), kind, model, version, timeout, new HashSet<>(idempotent)));
+        }
+    }
+
+    private void callerClass(IniSection section, SectionReader reader) {
+        Duration firstToken = reader.required("first-token", Values::duration);
+        Duration perToken = reader.required("per-token", Values::duration);
+        boolean canWait = reader.optional("can-wait", Values::yesNo, false);
+        Duration maxWait = reader.optional("max-wait", Values::duration, DEFAULT_MAX_WAIT);
+        int share = reader.optional("share", text -> Values.integer(text, 1, MAX_SHARE), DEFAULT_SHARE);
+        classes.add(new CallerClass(CallerClassId.of(section.name()), firstToken, perToken, canWait, maxWait, share));
+    }
+
+    private void caller(IniSection section, SectionReader reader) {
+        KeyHash keyHash = reader.required("key-hash", KeyHash::parse);
+        CallerClassId callerClass = reader.required("class", CallerClassId::of);
+        WorkspaceId workspace = reader.optional("workspace", WorkspaceId::of, WorkspaceId.of(section.name()));
+        callers.add(new Caller(CallerId.of(section.name()), keyHash, callerClass, workspace));
+    }
+
+    private void server(IniSection section, SectionReader reader) {
+        ServerRole role = reader.required("role", text -> Values.choice(text, ServerRole.class));
+        servers.add(new Server(
+                ServerId.of(section.name()),
+                reader.required("address", Values::address),
+                reader.required("zone", AvailabilityZone::of),
+                role,
+                reader.required("service", ServiceId::of),
+                reader.optional("checks-fencing", Values::yesNo, false)));
+    }
+
+    private void checkReferences(List<IniSection> sections) {
+        Set<String> known = new HashSet<>();
+        sections.forEach(section -> known.add(section.heading()));
+        for (IniSection section : sections) {
+            SectionReader reader = new SectionReader(section, problems);
+            switch (section.kind()) {
+                case "caller" -> requireKnown(reader, known, "class", "class");
+                case "server" -> requireKnown(reader, known, "service", "service");
+                default -> {
+                    // services and classes refer to nothing
+                }
+            }
+        }
+        servers.forEach(this::checkRole);
+    }
+
+    private void requireKnown(SectionReader reader, Set<String> known, String key, String kind) {
+        String name = reader.required(key, text -> text);
+        if (!known.contains(kind + " " + name)) {
+            reader.reject(key, "there is no [" + kind + " " + name + "]");
+        }
+    }
+
+    private void checkRole(Server server) {
+        services.stream()
+                .filter(service -> service.id().equals(server.service()))
+                .filter(service -> (service.kind() == ServiceKind.PLAIN) != (server.role() == ServerRole.PLAIN))
+                .forEach(service -> problems.add(new Problem(
+                        new org.mangoridge.settings.ini.Origin("server " + server.id(), 0),
+                        "role",
+                        "a server of a plain service has the role plain, and only it")));
+    }
+}
--- /dev/null
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of an entry instance. */
+package org.mangoridge.settings;
--- /dev/null
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a model engine. */
+package org.mangoridge.standin.engine;
--- /dev/null
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the platform's object API. */
+package org.mangoridge.standin.platform;
--- /dev/null
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/service/ServiceStandIn.java
@@ -0,0 +1,94 @@
+package org.mangoridge.standin.service;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.engine.plain.HttpPlainService;
+import org.mangoridge.http.Headers;
+import org.mangoridge.http.Json;
+import org.mangoridge.web.ErrorBody;
+import org.mangoridge.web.WebHandler;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+import org.mangoridge.web.WebServer;
+
+/** A plain service that takes orders, which must not run twice, and counts how often each ran. */
+public final class ServiceStandIn implements AutoCloseable, WebHandler {
+
+    private static final int MAX_BODY_BYTES = 1 << 20;
+
+    /**
+     * An order.
+     *
+     * @param order its number, chosen by the caller
+     * @param item what is ordered
+     */
+    public record Order(String order, String item) {}
+
+    /**
+     * The answer to an order.
+     *
+     * @param order its number
+     * @param run how often it has run, this time included
+     */
+    public record Placed(String order, int run) {}
+
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private WebServer server;
+
+    private ServiceStandIn() {}
+
+    /** Starts a service that listens on {@code bind}. */
+    public static ServiceStandIn start(HostPort bind) {
+        ServiceStandIn service = new ServiceStandIn();
+        service.server = WebServer.start(bind, MAX_BODY_BYTES, 1, service);
+        return service;
+    }
+
+    /** Returns the address listened on. */
+    public HostPort address() {
+        return server.address();
+    }
+
+    /** Returns how often each order ran. */
+    public Map<String, Integer> runs() {
+        return new TreeMap<>(runs);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    @Override
+    public WebReply handle(WebRequest request) {
+        if (request.is("POST", "/orders")) {
+            return switch (Json.read(request.body(), Order.class)) {
+                case Result.Ok<Order, String> ok when ok.value().order() != null -> place(request, ok.value());
+                case Result.Ok<Order, String> ok ->
+                    WebReply.json(400, ErrorBody.of("malformed", "\"order\" is missing"));
+                case Result.Err<Order, String> err -> WebReply.json(400, ErrorBody.of("malformed", err.error()));
+            };
+        }
+        if (request.method().equals("GET") && request.path().startsWith("/stock/")) {
+            return WebReply.json(
+                    200, echo(request), new Order("stock", request.path().substring(7)));
+        }
+        return WebReply.json(404, ErrorBody.of("not_found", "no such path"));
+    }
+
+    private WebReply place(WebRequest request, Order order) {
+        int run = runs.merge(order.order(), 1, Integer::sum);
+        return WebReply.json(201, echo(request), new Placed(order.order(), run));
+    }
+
+    private static Headers echo(WebRequest request) {
+        return request.headers()
+                .value(HttpPlainService.ATTEMPT_HEADER)
+                .map(attempt -> Headers.of(HttpPlainService.ATTEMPT_HEADER, attempt))
+                .orElse(Headers.empty());
+    }
+}
--- /dev/null
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for a plain service. */
+package org.mangoridge.standin.service;
--- /dev/null
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/Disconnect.java
@@ -0,0 +1,11 @@
+package org.mangoridge.web;
+
+/** Tells whether the peer of a request has gone; safe for use by several threads. */
+public interface Disconnect {
+
+    /** Tells whether the connection closed before the answer was complete. */
+    boolean isGone();
+
+    /** Runs {@code action} once when the connection closes, at once if it has; the action must not block. */
+    void onGone(Runnable action);
+}
--- /dev/null
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
@@ -0,0 +1,130 @@
+package org.mangoridge.web;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.http.Headers;
+import ratpack.exec.Downstream;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+import ratpack.http.Request;
+import ratpack.http.Response;
+
+/** Takes requests from Ratpack to the blocking handler and its answers back. */
+final class RequestDispatcher implements Handler {
+
+    private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
+    private static final int TOO_LARGE_STATUS = 413;
+    private static final int INTERNAL_ERROR_STATUS = 500;
+
+    /** An answer whose streamed body, if it has one, is being written. */
+    private record Outgoing(WebReply reply, ChunkPublisher stream) {}
+
+    private final int maxBodyBytes;
+    private final WebHandler handler;
+    private final ExecutorService threads;
+
+    RequestDispatcher(int maxBodyBytes, WebHandler handler, ExecutorService threads) {
+        this.maxBodyBytes = maxBodyBytes;
+        this.handler = handler;
+        this.threads = threads;
+    }
+
+    @Override
+    public void handle(Context ctx) {
+        ConnectionState connection = watchConnection(ctx);
+        ctx.getRequest().getBody(maxBodyBytes, () -> refuseBody(ctx)).then(body -> {
+            WebRequest request = request(ctx.getRequest(), body.getBytes(), connection);
+            Promise.<Outgoing>async(down -> threads.execute(() -> answer(ctx, request, down)))
+                    .then(outgoing -> send(ctx, outgoing));
+        });
+    }
+
+    private static ConnectionState watchConnection(Context ctx) {
+        ConnectionState state = new ConnectionState();
+        Channel channel = ctx.getDirectChannelAccess().getChannel();
+        ChannelFutureListener listener = future -> state.closed();
+        channel.closeFuture().addListener(listener);
+        ctx.onClose(outcome -> channel.closeFuture().removeListener(listener));
+        return state;
+    }
+
+    private void refuseBody(Context ctx) {
+        String detail = "the body may have at most " + maxBodyBytes + " bytes";
+        send(ctx, new Outgoing(WebReply.json(TOO_LARGE_STATUS, ErrorBody.of("body_too_large", detail)), null));
+    }
+
+    private void answer(Context ctx, WebRequest request, Downstream<? super Outgoing> down) {
+        WebReply reply = reply(request);
+        if (!(reply instanceof WebReply.Streamed streamed)) {
+            down.success(new Outgoing(reply, null));
+            return;
+        }
+        ChunkPublisher stream = new ChunkPublisher(SLOWEST_READER, () -> close(ctx));
+        down.success(new Outgoing(reply, stream));
+        try {
+            streamed.body().writeTo(stream);
+            stream.complete();
+        } catch (RuntimeException e) {
+            EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("path", request.path()));
+            stream.abort();
+        }
+    }
+
+    private WebReply reply(WebRequest request) {
+        try {
+            return handler.handle(request);
+        } catch (RuntimeException e) {
+            EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("path", request.path()));
+            return WebReply.json(
+                    INTERNAL_ERROR_STATUS, ErrorBody.of("internal_error", "the request met a defect of the system"));
+        }
+    }
+
+    private static void send(Context ctx, Outgoing outgoing) {
+        Response response = ctx.getResponse();
+        switch (outgoing.reply()) {
+            case WebReply.Whole whole -> {
+                writeHead(response, whole.status(), whole.headers());
+                response.send(whole.body());
+            }
+            case WebReply.Streamed streamed -> {
+                writeHead(response, streamed.status(), streamed.headers());
+                response.sendStream(outgoing.stream());
+            }
+            case WebReply.Dropped dropped ->
+                ctx.getDirectChannelAccess().getChannel().close();
+        }
+    }
+
+    private static void close(Context ctx) {
+        ctx.getDirectChannelAccess().getChannel().close();
+    }
+
+    private static void writeHead(Response response, int status, Headers headers) {
+        response.status(status);
+        headers.asMap().forEach((name, value) -> response.getHeaders().set(name, value));
+    }
+
+    private static WebRequest request(Request request, byte[] body, ConnectionState connection) {
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String name : request.getHeaders().getNames()) {
+            headers.put(name, request.getHeaders().get(name));
+        }
+        return new WebRequest(
+                request.getMethod().getName(),
+                "/" + request.getPath(),
+                Map.copyOf(request.getQueryParams()),
+                Headers.copyOf(headers),
+                body,
+                connection);
+    }
+}
--- /dev/null
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/StreamBody.java
@@ -0,0 +1,9 @@
+package org.mangoridge.web;
+
+/** Writes the body of a streamed answer. */
+@FunctionalInterface
+public interface StreamBody {
+
+    /** Writes the body to {@code sink} and returns when it is complete; may block. */
+    void writeTo(StreamSink sink);
+}
--- /dev/null
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/WebServer.java
@@ -0,0 +1,68 @@
+package org.mangoridge.web;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.mangoridge.core.Checks;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.net.HostPort;
+import ratpack.server.RatpackServer;
+import ratpack.server.ServerConfig;
+
+/** Listens for HTTP requests and hands each to a {@link WebHandler} on a virtual thread of its own. */
+public final class WebServer implements AutoCloseable {
+
+    private final RatpackServer server;
+    private final ExecutorService threads;
+    private final HostPort address;
+
+    private WebServer(RatpackServer server, ExecutorService threads, HostPort address) {
+        this.server = server;
+        this.threads = threads;
+        this.address = address;
+    }
+
+    /**
+     * Listens on {@code bind}.
+     *
+     * @param maxBodyBytes requests with a larger body are answered 413 without reaching the handler
+     * @param eventLoops how many threads move bytes
+     * @throws IllegalStateException if the address can't be listened on
+     */
+    public static WebServer start(HostPort bind, int maxBodyBytes, int eventLoops, WebHandler handler) {
+        Checks.notNull(handler, "handler");
+        ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+        RequestDispatcher dispatcher = new RequestDispatcher(maxBodyBytes, handler, threads);
+        try {
+            RatpackServer server = RatpackServer.start(spec -> spec.serverConfig(ServerConfig.embedded()
+                            .address(bind.socketAddress().getAddress())
+                            .port(bind.port())
+                            .threads(eventLoops)
+                            .maxContentLength(maxBodyBytes)
+                            .development(false))
+                    .handlers(chain -> chain.all(dispatcher)));
+            return new WebServer(server, threads, bind.withPort(server.getBindPort()));
+        } catch (Exception e) {
+            threads.shutdownNow();
+            throw new IllegalStateException("can't listen on " + bind + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Returns the address listened on, with the port that the system chose if 0 was asked for. */
+    public HostPort address() {
+        return address;
+    }
+
+    /** Stops listening and ends what is in progress. */
+    @Override
+    public void close() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("where", "server stop"));
+        }
+        threads.shutdownNow();
+    }
+}
