Let the engine stand-in batch, cache, transfer and fail as engines do

Cause: the stand-in took the same time for every token, prefilled under one lock without priorities, had no prefix cache, orders or faults, and counted too little to check a verdict against.

Change: decisions on virtual time (EngineCore: slots and memory pieces, one prefill unit and one link that honour priority and cancels at any stage, a bounded prefix cache with late and gappy events, load reports with a lag, orders with fencing numbers) under a thin shell that sleeps. The token interval grows with the batch and beside prefill; answers end by themselves at lengths that the prompt decides. Faults from Java and by POST /faults, true counts from Java and by GET /counts.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/StandInCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/StandInCommand.java
@@ -34,7 +34,9 @@
                 .addOption(null, "listen", true, "the address to listen on, HOST:PORT")
                 .addOption(null, "role", true, "engine: prefill, decode or both (default both)")
                 .addOption(null, "model", true, "engine: the model loaded (default guide-llm)")
-                .addOption(null, "version", true, "engine: its version (default 1)");
+                .addOption(null, "version", true, "engine: its version (default 1)")
+                .addOption(null, "slots", true, "engine: how many requests decode at once (default 20)")
+                .addOption(null, "ignore-fencing", false, "engine: obey orders with old fencing numbers");
     }
 
     @Override
@@ -57,10 +59,28 @@
     }
 
     private static EngineProfile profile(Invocation invocation) {
-        return EngineProfile.of(
+        EngineProfile profile = EngineProfile.of(
                 invocation.option("role").orElse("both"),
                 invocation.option("model").orElse("guide-llm"),
                 invocation.option("version").orElse("1"));
+        return profile.withSizes(profile.sizes()
+                        .withSlots(invocation
+                                .option("slots")
+                                .map(StandInCommand::positive)
+                                .orElse(profile.sizes().slots())))
+                .withFencing(!invocation.has("ignore-fencing"));
+    }
+
+    private static int positive(String text) {
+        try {
+            int number = Integer.parseInt(text);
+            if (number > 0) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // answered below
+        }
+        throw new UsageException("expected a positive whole number: " + text);
     }
 
     private static void awaitForever() {
--- /dev/null
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/prefix/package-info.java
@@ -0,0 +1,2 @@
+/** Names of prompt prefixes that engines and decisions share. */
+package org.mangoridge.core.prefix;
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
@@ -1,8 +1,7 @@
 package org.mangoridge.standin.engine;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.ReentrantLock;
+import java.util.Optional;
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.net.HostPort;
@@ -14,49 +13,50 @@
 import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.http.Json;
+import org.mangoridge.standin.engine.HeldAttempts.Holder;
 import org.mangoridge.web.ErrorBody;
-import org.mangoridge.web.StreamSink;
 import org.mangoridge.web.WebHandler;
 import org.mangoridge.web.WebReply;
 import org.mangoridge.web.WebRequest;
 import org.mangoridge.web.WebServer;
 
-/** Serves the engine protocol, and spends the time that the work would take. */
+/** Serves the engine protocol, and spends the time that the work would take; safe for use by several threads. */
 public final class EngineStandIn implements AutoCloseable, WebHandler {
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration EXPORT_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_BODY_BYTES = 4 << 20;
-    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int STALE_ORDER = 409;
+    private static final int CANCELLED = 499;
     private static final String ATTEMPTS = "/v1/attempts/";
     private static final String EXPORTS = "/v1/exports/";
+    private static final String FAULTS = "/faults";
 
     /**
      * The answer to an export.
      *
      * @param tokens the tokens of KV cache
+     * @param computed how many of them were computed for it
      */
-    record Exported(int tokens) {}
+    record Exported(int tokens, int computed) {}
 
     private final EngineProfile profile;
-    private final HeldAttempts held;
-    private final ReentrantLock prefillUnit = new ReentrantLock(true);
-    private final ReentrantLock link = new ReentrantLock(true);
-    private final AtomicLong prefillQueueTokens = new AtomicLong();
-    private final AtomicLong prefillTokens = new AtomicLong();
+    private final EngineMonitor engine;
+    private final SilencedCalls silenced;
     private final HttpTransport transport = HttpTransport.create(CONNECT_TIMEOUT);
     private WebServer server;
 
     private EngineStandIn(EngineProfile profile, Clock clock) {
         this.profile = profile;
-        this.held = new HeldAttempts(profile, clock);
+        this.engine = new EngineMonitor(new EngineCore(profile), clock);
+        this.silenced = new SilencedCalls(engine);
     }
 
     /** Starts an engine that listens on {@code bind}. */
     public static EngineStandIn start(HostPort bind, EngineProfile profile, Clock clock) {
-        EngineStandIn engine = new EngineStandIn(profile, clock);
-        engine.server = WebServer.start(bind, MAX_BODY_BYTES, 1, engine);
-        return engine;
+        EngineStandIn standIn = new EngineStandIn(profile, clock);
+        standIn.server = WebServer.start(bind, MAX_BODY_BYTES, 1, standIn);
+        return standIn;
     }
 
     /** Returns the address listened on. */
@@ -64,19 +64,40 @@
         return server.address();
     }
 
+    /** Puts faults into force in place of those before. */
+    public void faults(EngineFaults faults) {
+        if (faults.silent()) {
+            silenced.silenceOpenCalls();
+        }
+        engine.apply((core, now) -> {
+            core.faults(faults, now);
+            return faults;
+        });
+    }
+
+    /** Returns what the engine truly did. */
+    public EngineCounts counts() {
+        return engine.look(EngineCore::counts);
+    }
+
+    /** Tells whether anything ran for the request with this id. */
+    public boolean hasRun(String request) {
+        return engine.look((core, now) -> core.hasRun(request));
+    }
+
     /** Returns the tokens of all prompts that were prefilled. */
     public long prefillTokens() {
-        return prefillTokens.get();
+        return counts().prefillTokens();
     }
 
     /** Returns the tokens of prefill results that were never used. */
     public long wastedPrefillTokens() {
-        return held.wastedPrefillTokens();
+        return counts().wastedPrefillTokens();
     }
 
     /** Returns how many slots are held. */
     public int slotsUsed() {
-        return held.slotsUsed();
+        return engine.look(EngineCore::slotsUsed);
     }
 
     @Override
@@ -87,18 +108,35 @@
 
     @Override
     public WebReply handle(WebRequest request) {
+        if (request.is("POST", FAULTS)) {
+            return withBody(request, EngineFaults.class, this::setFaults);
+        }
+        if (isDead()) {
+            return new WebReply.Dropped();
+        }
+        Duration opened = engine.now();
+        WebReply reply = answer(request);
+        if (silenced.isSilent(opened)) {
+            silenced.await(request);
+            return new WebReply.Dropped();
+        }
+        return isDead() ? new WebReply.Dropped() : reply;
+    }
+
+    private WebReply answer(WebRequest request) {
         return switch (request.method() + " " + request.path()) {
             case "POST /v1/reservations" -> withBody(request, EngineMessages.ReserveRequest.class, this::reserve);
             case "POST /v1/prefills" -> withBody(request, EngineMessages.PrefillRequest.class, this::prefill);
             case "POST /v1/imports" -> withBody(request, EngineMessages.ImportRequest.class, this::importKv);
             case "POST /v1/decodes" ->
                 withBody(request, EngineMessages.DecodeRequest.class, message -> decode(message, request));
-            case "GET /v1/load" -> WebReply.json(200, load());
-            case "GET /v1/attempts" ->
-                WebReply.json(
-                        200,
-                        new EngineMessages.HeldList(
-                                held.list(request.queryValue("instance").orElse(""))));
+            case "POST /v1/orders" -> withBody(request, EngineMessages.OrderRequest.class, this::order);
+            case "GET /v1/load" -> WebReply.json(200, engine.look(EngineCore::load));
+            case "GET /v1/state" ->
+                WebReply.json(200, engine.look((core, now) -> core.orders().state(now)));
+            case "GET /v1/cache-events" -> cacheEvents(request);
+            case "GET /v1/attempts" -> heldBy(request.queryValue("instance").orElse(""));
+            case "GET /counts" -> WebReply.json(200, counts());
             default -> byPrefix(request);
         };
     }
@@ -106,13 +144,11 @@
     private WebReply byPrefix(WebRequest request) {
         if (request.method().equals("DELETE") && request.path().startsWith(ATTEMPTS)) {
             String attempt = request.path().substring(ATTEMPTS.length());
-            return WebReply.json(200, new EngineMessages.Released(attempt, held.release(attempt)));
+            boolean released = engine.apply((core, now) -> core.cancel(attempt, now));
+            return WebReply.json(200, new EngineMessages.Released(attempt, released));
         }
         if (request.method().equals("POST") && request.path().startsWith(EXPORTS)) {
-            int tokens = held.export(request.path().substring(EXPORTS.length()));
-            return tokens < 0
-                    ? WebReply.json(410, ErrorBody.of("evicted", "the prefill result is not held"))
-                    : WebReply.json(200, new Exported(tokens));
+            return export(request.path().substring(EXPORTS.length()));
         }
         return WebReply.json(404, ErrorBody.of("not_found", "no such path"));
     }
@@ -128,111 +164,115 @@
         };
     }
 
+    private WebReply setFaults(EngineFaults faults) {
+        faults(faults);
+        return WebReply.json(200, faults);
+    }
+
+    private boolean isDead() {
+        return engine.look((core, now) -> core.faults().dead());
+    }
+
     private WebReply reserve(EngineMessages.ReserveRequest request) {
-        return held.reserve(request)
-                ? WebReply.json(
-                        200, new EngineMessages.Reserved(request.attempt(), profile.piecesFor(request.tokens())))
-                : WebReply.json(429, ErrorBody.of("full", "no slot or memory is free"));
+        return switch (engine.apply((core, now) -> core.reserve(request, now))) {
+            case HELD ->
+                WebReply.json(
+                        200,
+                        new EngineMessages.Reserved(
+                                request.attempt(), profile.sizes().piecesFor(request.tokens())));
+            case FULL -> WebReply.json(429, ErrorBody.of("full", "no slot or memory is free"));
+            case CANCELLED -> cancelled();
+            case BUSY -> WebReply.json(429, ErrorBody.of("busy", "an order is being carried out"));
+        };
     }
 
     private WebReply prefill(EngineMessages.PrefillRequest request) {
-        int tokens = tokensOf(request.prompt());
-        prefillQueueTokens.addAndGet(tokens);
-        prefillUnit.lock();
-        try {
-            pause(Duration.ofNanos(tokens * 1_000_000_000L / profile.prefillTokensPerSecond()));
-        } finally {
-            prefillUnit.unlock();
-            prefillQueueTokens.addAndGet(-tokens);
+        Holder holder = new Holder(request.attempt(), request.instance(), request.incarnation());
+        Optional<EngineCore.Prefill> prefill =
+                engine.apply((core, now) -> core.prefill(holder, request.prompt(), request.priority(), now));
+        if (prefill.isEmpty() || !engine.await(prefill.get().job())) {
+            return cancelled();
         }
-        prefillTokens.addAndGet(tokens);
-        held.store(request, tokens);
+        int tokens = prefill.get().job().tokens();
         return WebReply.json(
                 200,
                 new EngineMessages.PrefillDone(
-                        request.attempt(), request.attempt(), tokens, 0, tokens * profile.kvBytesPerToken()));
+                        request.attempt(),
+                        request.attempt(),
+                        tokens,
+                        prefill.get().cachedTokens(),
+                        tokens * profile.rates().kvBytesPerToken()));
+    }
+
+    private WebReply export(String handle) {
+        HeldAttempts.PrefillResult result = engine.apply((core, now) -> core.export(handle, now));
+        return result == null ? evicted() : WebReply.json(200, new Exported(result.tokens(), result.computed()));
     }
 
     private WebReply importKv(EngineMessages.ImportRequest request) {
-        if (!held.holds(request.attempt())) {
-            return WebReply.json(499, ErrorBody.of("cancelled", "the attempt holds no slot"));
+        String attempt = request.attempt();
+        if (!engine.apply((core, now) -> core.beginImport(attempt, now))) {
+            return cancelled();
         }
         HttpCall call = HttpCall.postJson(
                 HostPort.parse(request.source()).httpUri(EXPORTS + request.handle()), request, EXPORT_TIMEOUT);
         Result<HttpAnswer, HttpFailure> exported = transport.send(call);
-        if (!exported.isOk()) {
-            return WebReply.json(502, ErrorBody.of("source", exported.error().detail()));
-        }
-        if (!exported.value().isSuccess()) {
-            return WebReply.json(410, ErrorBody.of("evicted", "the prefill result is not held"));
-        }
-        int tokens = Json.read(exported.value().body(), Exported.class).value().tokens();
-        long bytes = tokens * profile.kvBytesPerToken();
-        link.lock();
-        try {
-            pause(Duration.ofNanos((long) (bytes * 1e9 / profile.linkBytesPerSecond())));
-        } finally {
-            link.unlock();
+        if (!exported.isOk() || !exported.value().isSuccess()) {
+            engine.apply((core, now) -> core.endImport(attempt, false, now));
+            return exported.isOk()
+                    ? evicted()
+                    : WebReply.json(502, ErrorBody.of("source", exported.error().detail()));
         }
-        return held.advance(request.attempt(), HeldAttempts.Stage.IMPORTED)
-                ? WebReply.json(200, new EngineMessages.Imported(request.attempt(), bytes))
-                : WebReply.json(499, ErrorBody.of("cancelled", "the attempt was cancelled"));
+        Exported kv = Json.read(exported.value().body(), Exported.class).value();
+        boolean fetched = engine.apply((core, now) -> core.transfer(attempt, kv.tokens(), kv.computed(), now))
+                .map(engine::await)
+                .orElse(false);
+        return fetched && engine.apply((core, now) -> core.endImport(attempt, true, now))
+                ? WebReply.json(
+                        200,
+                        new EngineMessages.Imported(
+                                attempt, kv.tokens() * profile.rates().kvBytesPerToken()))
+                : cancelled();
     }
 
     private WebReply decode(EngineMessages.DecodeRequest request, WebRequest web) {
-        if (!held.advance(request.attempt(), HeldAttempts.Stage.DECODING)) {
-            return WebReply.json(499, ErrorBody.of("cancelled", "the attempt holds no slot"));
+        if (!engine.look((core, now) -> core.holds(request.attempt()))) {
+            return cancelled();
         }
-        return WebReply.events(Headers.empty(), sink -> generate(request, web, sink));
-    }
-
-    private void generate(EngineMessages.DecodeRequest request, WebRequest web, StreamSink sink) {
-        try {
-            for (int index = request.firstIndex(); index < request.maxTokens(); index++) {
-                pause(profile.tokenInterval());
-                boolean stopped = web.disconnect().isGone() || !held.holds(request.attempt());
-                if (stopped || !send(sink, request.attempt(), index, TokenText.of(request.prompt(), index), null)) {
-                    sink.abort();
-                    return;
-                }
+        TokenStreamWriter writer = new TokenStreamWriter(engine, profile.sizes(), silenced, request, web);
+        return WebReply.events(Headers.empty(), writer::writeTo);
+    }
+
+    private WebReply order(EngineMessages.OrderRequest order) {
+        EngineOrders.Taken taken = engine.apply((core, now) -> core.orders()
+                .take(order, core.faults().ignoresFencing(), core.faults().slowFactor(), now));
+        return switch (taken) {
+            case BEGUN, REPEATED -> {
+                engine.sleepUntil(engine.look((core, now) -> core.orders().until()));
+                yield WebReply.json(
+                        200, engine.look((core, now) -> core.orders().state(now)));
             }
-            send(sink, request.attempt(), request.maxTokens(), null, "length");
-        } finally {
-            held.release(request.attempt());
-        }
+            case OLD_FENCING -> WebReply.json(STALE_ORDER, ErrorBody.of("fencing", "a later order was seen"));
+            case BUSY -> WebReply.json(429, ErrorBody.of("busy", "another order is being carried out"));
+            case MALFORMED -> WebReply.json(400, ErrorBody.of("malformed", "unknown kind or missing field"));
+        };
     }
 
-    private static boolean send(StreamSink sink, String attempt, int index, String text, String finish) {
-        return sink.writeEvent(Json.text(new EngineMessages.StreamEvent(attempt, index, text, finish)));
+    private WebReply cacheEvents(WebRequest request) {
+        long after = request.queryValue("after").map(Long::parseLong).orElse(0L);
+        return WebReply.json(
+                200, new EngineMessages.CacheEvents(engine.look((core, now) -> core.cacheEvents(after, now))));
     }
 
-    private EngineMessages.LoadReport load() {
-        return new EngineMessages.LoadReport(
-                profile.role(),
-                profile.model(),
-                profile.version(),
-                profile.slots(),
-                held.slotsUsed(),
-                profile.pieces(),
-                held.piecesUsed(),
-                profile.pieceTokens(),
-                prefillQueueTokens.get(),
-                profile.prefillTokensPerSecond(),
-                profile.linkBytesPerSecond(),
-                profile.kvBytesPerToken(),
-                0,
-                held.attempts());
+    private WebReply heldBy(String instance) {
+        return WebReply.json(200, new EngineMessages.HeldList(engine.look((core, now) -> core.held(instance, now))));
     }
 
-    private static int tokensOf(String prompt) {
-        return Math.max(1, (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
+    private static WebReply cancelled() {
+        return WebReply.json(CANCELLED, ErrorBody.of("cancelled", "the attempt holds no slot"));
     }
 
-    private static void pause(Duration duration) {
-        try {
-            Thread.sleep(duration);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private static WebReply evicted() {
+        return WebReply.json(410, ErrorBody.of("evicted", "the prefill result is not held"));
     }
 }
