--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -15,6 +15,7 @@
 import org.mangoridge.cli.command.Command;
 import org.mangoridge.cli.command.ExitCode;
 import org.mangoridge.cli.command.Invocation;
+import org.mangoridge.cli.command.KeyCommand;
 import org.mangoridge.cli.command.ServeCommand;
 import org.mangoridge.cli.command.StandInCommand;
 import org.mangoridge.cli.command.UsageException;
@@ -44,6 +45,7 @@
                 new ServeCommand(),
                 new CheckCommand(),
                 new CallCommand(),
+                new KeyCommand(),
                 new DemoCommand(),
                 new StandInCommand(),
                 new VersionCommand()));
