Decide leases and orders to engines as pure state machines

Cause: nothing brought engines to the version or role that the configuration names. Change: LeaseMachine takes, renews and gives back a lease with a fencing number that only grows; OrderMachine gives orders only under a tenure that covers them, after reading the engine's state in that tenure, never below the service's serving-floor and never more loads at once than the weight store allows. previous-version lets a service be served while its engines change over.

--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Leases, and orders to engines given by their holders. */
-package org.mangoridge.orders;
--- /dev/null
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/plan/OrderRules.java
@@ -0,0 +1,25 @@
+package org.mangoridge.orders.plan;
+
+import java.time.Duration;
+
+import org.mangoridge.core.Checks;
+
+/**
+ * The limits of giving orders.
+ *
+ * @param longestOrder the longest that an order may take to be carried out, on its way included
+ * @param readEvery how often an engine's state is read
+ * @param retryAfter how long an engine is left alone after an order failed
+ * @param maxLoads how many engines may load from the weight store at once
+ */
+public record OrderRules(Duration longestOrder, Duration readEvery, Duration retryAfter, int maxLoads) {
+
+    public OrderRules {
+        Checks.argument(maxLoads >= 1, "maxLoads must be at least 1: %d", maxLoads);
+    }
+
+    /** Returns rules for orders of at most 60 s and two loads at once. */
+    public static OrderRules standard() {
+        return new OrderRules(Duration.ofSeconds(60), Duration.ofSeconds(5), Duration.ofSeconds(30), 2);
+    }
+}
--- /dev/null
+++ b/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
@@ -0,0 +1,228 @@
+package org.mangoridge.orders.lease;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.core.id.Incarnation;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.platform.Precondition;
+import org.mangoridge.platform.WriteOutcome;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class LeaseMachineTest {
+
+    private static final LeaseTerms TERMS = new LeaseTerms(
+            Duration.ofSeconds(90), Duration.ofSeconds(10), Duration.ofSeconds(10), Duration.ofSeconds(60), 5);
+
+    /** One object of the store, with writes that may land late. */
+    private static final class FakeStore {
+
+        private LeaseRecord record;
+        private long version;
+
+        private Optional<LeaseEvent.StoredLease> read() {
+            return record == null ? Optional.empty() : Optional.of(new LeaseEvent.StoredLease(record, version));
+        }
+
+        private WriteOutcome write(LeaseAction.WriteLease write) {
+            boolean holds =
+                    switch (write.condition()) {
+                        case Precondition.Absent absent -> record == null;
+                        case Precondition.AtVersion at -> record != null && at.version() == version;
+                    };
+            if (!holds) {
+                return new WriteOutcome.Conflict();
+            }
+            record = write.record();
+            return new WriteOutcome.Written(++version);
+        }
+    }
+
+    private final FakeStore store = new FakeStore();
+
+    private static LeaseMachine machine(String name) {
+        return LeaseMachine.create(new Owner(InstanceId.of(name), Incarnation.of(1)), TERMS);
+    }
+
+    /** Ticks a machine and answers its actions at once. */
+    private void run(LeaseMachine machine, Duration now) {
+        Optional<LeaseAction> action = machine.on(new LeaseEvent.Tick(true), now);
+        while (action.isPresent()) {
+            action = machine.on(answer(action.get()), now);
+        }
+    }
+
+    private LeaseEvent answer(LeaseAction action) {
+        return switch (action) {
+            case LeaseAction.ReadLease read -> new LeaseEvent.LeaseRead(store.read());
+            case LeaseAction.WriteLease write -> new LeaseEvent.WriteSettled(store.write(write));
+        };
+    }
+
+    private static Duration seconds(long count) {
+        return Duration.ofSeconds(count);
+    }
+
+    @Test
+    void aSecondCandidateWaitsOutTheLeaseAndThenTheLongestOrder() {
+        LeaseMachine first = machine("a");
+        LeaseMachine second = machine("b");
+        run(first, seconds(0));
+        run(second, seconds(1));
+        assertThat(second.tenure(seconds(1))).isEmpty();
+        run(second, seconds(91));
+        assertThat(second.tenure(seconds(91))).isEmpty();
+        run(second, seconds(102));
+        Tenure tenure = second.tenure(seconds(102)).orElseThrow();
+        assertThat(tenure.fencing().value()).isEqualTo(2);
+        assertThat(first.tenure(seconds(102))).isEmpty();
+        assertThat(tenure.coversUnfencedOrder(seconds(120), TERMS.longestOrder()))
+                .isFalse();
+        assertThat(tenure.coversFencedOrder(seconds(120))).isTrue();
+    }
+
+    @Test
+    void aLeaseGivenBackIsTakenAtOnce() {
+        LeaseMachine first = machine("a");
+        LeaseMachine second = machine("b");
+        run(first, seconds(0));
+        Optional<LeaseAction> action = first.on(new LeaseEvent.GiveBack(), seconds(5));
+        first.on(answer(action.orElseThrow()), seconds(5));
+        run(second, seconds(6));
+        Tenure tenure = second.tenure(seconds(6)).orElseThrow();
+        assertThat(tenure.coversUnfencedOrder(seconds(6), TERMS.longestOrder())).isTrue();
+    }
+
+    @Test
+    void aRenewalWhoseAnswerIsLostStillCounts() {
+        LeaseMachine holder = machine("a");
+        run(holder, seconds(0));
+        LeaseAction renewal = holder.on(new LeaseEvent.Tick(true), seconds(10)).orElseThrow();
+        store.write((LeaseAction.WriteLease) renewal);
+        holder.on(new LeaseEvent.WriteSettled(new WriteOutcome.Unknown("lost")), seconds(12));
+        run(holder, seconds(22));
+        assertThat(holder.tenure(seconds(95))).isPresent();
+    }
+
+    @Test
+    void aGreaterFencingNumberSeenAtAnEngineEndsTheTenure() {
+        LeaseMachine holder = machine("a");
+        run(holder, seconds(0));
+        holder.on(new LeaseEvent.FencingSeen(7), seconds(1));
+        assertThat(holder.tenure(seconds(1))).isEmpty();
+        run(holder, seconds(11));
+        assertThat(holder.tenure(seconds(11)).orElseThrow().fencing().value()).isEqualTo(8);
+    }
+
+    /** A write that the store carries out late. */
+    private record Delayed(LeaseAction.WriteLease write, long at) {}
+
+    /** An answer that reaches its machine late. */
+    private record LateAnswer(LeaseMachine machine, LeaseEvent event, long at) {}
+
+    private final List<LateAnswer> lateAnswers = new ArrayList<>();
+
+    private void deliverLateAnswers(long second) {
+        List<LateAnswer> due =
+                lateAnswers.stream().filter(late -> late.at() <= second).toList();
+        lateAnswers.removeAll(due);
+        due.forEach(late -> late.machine().on(late.event(), seconds(second)));
+    }
+
+    /** Seeded runs with lost and late answers, late writes, outages and pauses. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void unfencedOrdersOfTwoHoldersNeverOverlap(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<LeaseMachine> machines = List.of(machine("a"), machine("b"), machine("c"));
+        long[] pausedUntil = new long[machines.size()];
+        List<Delayed> delayed = new ArrayList<>();
+        int lastSender = -1;
+        long lastOrderEnds = 0;
+        long greatest = 0;
+        int tenures = 0;
+        for (long second = 0; second < 6000; second++) {
+            long at = second;
+            delayed.removeIf(late -> {
+                if (late.at() <= at) {
+                    store.write(late.write());
+                }
+                return late.at() <= at;
+            });
+            deliverLateAnswers(second);
+            long holders = machines.stream()
+                    .filter(machine -> machine.tenure(seconds(at)).isPresent())
+                    .count();
+            assertWithMessage("holders, seed " + seed + " second " + second)
+                    .that(holders)
+                    .isAtMost(1);
+            for (int i = 0; i < machines.size(); i++) {
+                if (pausedUntil[i] > second) {
+                    continue;
+                }
+                if (random.nextInt(200) == 0) {
+                    pausedUntil[i] = second + random.nextInt(200);
+                    continue;
+                }
+                step(machines.get(i), seconds(second), random, delayed);
+                Optional<Tenure> tenure = machines.get(i).tenure(seconds(second));
+                if (tenure.isEmpty() || !tenure.get().coversUnfencedOrder(seconds(second), TERMS.longestOrder())) {
+                    continue;
+                }
+                if (lastSender != i) {
+                    String message = "seed " + seed + " second " + second + " from " + lastSender + " to " + i;
+                    assertWithMessage(message).that(second).isAtLeast(lastOrderEnds);
+                    tenures++;
+                }
+                assertWithMessage("seed " + seed)
+                        .that(tenure.get().fencing().value())
+                        .isAtLeast(greatest);
+                greatest = tenure.get().fencing().value();
+                lastSender = i;
+                lastOrderEnds = second + TERMS.longestOrder().toSeconds();
+            }
+        }
+        assertWithMessage("seed " + seed).that(tenures).isAtLeast(2);
+    }
+
+    private void step(LeaseMachine machine, Duration now, SplittableRandom random, List<Delayed> delayed) {
+        Optional<LeaseAction> action = machine.on(new LeaseEvent.Tick(true), now);
+        while (action.isPresent()) {
+            LeaseEvent answer = faultyAnswer(action.get(), now, random, delayed);
+            if (action.get() instanceof LeaseAction.WriteLease && random.nextInt(5) == 0) {
+                lateAnswers.add(new LateAnswer(machine, answer, now.toSeconds() + 1 + random.nextInt(40)));
+                return;
+            }
+            action = machine.on(answer, now);
+        }
+    }
+
+    private LeaseEvent faultyAnswer(LeaseAction action, Duration now, SplittableRandom random, List<Delayed> delayed) {
+        int fault = random.nextInt(10);
+        return switch (action) {
+            case LeaseAction.ReadLease read when fault == 0 -> new LeaseEvent.ReadFailed();
+            case LeaseAction.WriteLease write
+            when fault == 0 -> {
+                store.write(write);
+                yield new LeaseEvent.WriteSettled(new WriteOutcome.Unknown("answer lost"));
+            }
+            case LeaseAction.WriteLease write
+            when fault == 1 -> {
+                delayed.add(new Delayed(write, now.toSeconds() + random.nextInt(120)));
+                yield new LeaseEvent.WriteSettled(new WriteOutcome.Unknown("late"));
+            }
+            case LeaseAction.WriteLease write
+            when fault == 2 -> new LeaseEvent.WriteSettled(new WriteOutcome.NotWritten("down"));
+            default -> answer(action);
+        };
+    }
+}
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/DeploymentParser.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/DeploymentParser.java
@@ -27,6 +27,8 @@
     private static final Duration DEFAULT_MAX_WAIT = Duration.ofSeconds(30);
     private static final int DEFAULT_SHARE = 1;
     private static final int MAX_SHARE = 1000;
+    private static final int DEFAULT_FLOOR = 1;
+    private static final int MAX_FLOOR = 1000;
     private static final List<String> SAFE_METHODS = List.of("GET", "HEAD", "OPTIONS");
 
     private final List<Problem> problems = new ArrayList<>();
@@ -85,11 +87,22 @@
         boolean isModel = kind == ServiceKind.MODEL;
         ModelId model = isModel ? reader.required("model", ModelId::of) : null;
         String version = isModel ? reader.required("version", text -> text) : "";
+        String previousVersion = isModel ? reader.optional("previous-version", text -> text, "") : "";
+        int servingFloor = isModel
+                ? reader.optional("serving-floor", text -> Values.integer(text, 0, MAX_FLOOR), DEFAULT_FLOOR)
+                : 0;
         Duration timeout = reader.optional("timeout", Values::duration, DEFAULT_TIMEOUT);
         List<String> idempotent = reader.optional("idempotent-methods", Values::words, SAFE_METHODS);
         if (kind != null) {
             services.add(new Service(
-                    ServiceId.of(section.name()), kind, model, version, timeout, new HashSet<>(idempotent)));
+                    ServiceId.of(section.name()),
+                    kind,
+                    model,
+                    version,
+                    previousVersion,
+                    servingFloor,
+                    timeout,
+                    new HashSet<>(idempotent)));
         }
     }
 
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Service.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Service.java
@@ -13,6 +13,8 @@
  * @param kind what it consists of
  * @param model the model that a model service serves, or null for a plain one
  * @param version the version of the model, empty for a plain service
+ * @param previousVersion a version that still serves while engines change over, empty if there is none
+ * @param servingFloor the fewest engines of each kind in a zone that keep serving while others change
  * @param timeout the longest a call may take
  * @param idempotentMethods the HTTP methods that may be repeated
  */
@@ -21,10 +23,17 @@
         ServiceKind kind,
         ModelId model,
         String version,
+        String previousVersion,
+        int servingFloor,
         Duration timeout,
         Set<String> idempotentMethods) {
 
     public Service {
         idempotentMethods = Set.copyOf(idempotentMethods);
     }
+
+    /** Tells whether requests may go to a server that has loaded {@code loaded}. */
+    public boolean accepts(String loaded) {
+        return loaded.equals(version) || (!previousVersion.isEmpty() && loaded.equals(previousVersion));
+    }
 }
