Route by estimates of load, with admission, queueing, shares and a retry budget

Cause: the only policy chose by the last report alone, prefilled before it asked for a slot, refused nothing and repeated every failure; work sent since a report, stopped reports and leaving servers were not known to it.

Change: DefaultRoutingPolicy plans prefill, transfer and decode together over load estimates, refuses at once what can't meet its targets, queues what can wait with turns between workspaces, and repeats failures from a budget. RoutingPolicies.create chooses between it and the baseline.

No measurement in real processes yet.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
@@ -12,7 +12,8 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.entry.EntryInstance;
-import org.mangoridge.routing.BaselinePolicy;
+import org.mangoridge.routing.PolicyName;
+import org.mangoridge.routing.RoutingPolicies;
 import org.mangoridge.settings.InstanceSettings;
 import org.mangoridge.settings.InstanceSettingsParser;
 import org.mangoridge.settings.ini.Problem;
@@ -57,7 +58,8 @@
         SecureRandom seeds = new SecureRandom();
         EntryInstance instance = EntryInstance.start(
                 settings.value(),
-                BaselinePolicy.create(new SplittableRandom(seeds.nextLong())),
+                RoutingPolicies.create(
+                        PolicyName.CURRENT, settings.value().zone(), new SplittableRandom(seeds.nextLong())),
                 SystemClock.instance(),
                 seeds);
         invocation.out().println("callers at " + instance.callerAddress());
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
@@ -17,7 +17,8 @@
 import org.mangoridge.entry.EntryInstance;
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.platform.http.HttpObjectStore;
-import org.mangoridge.routing.BaselinePolicy;
+import org.mangoridge.routing.PolicyName;
+import org.mangoridge.routing.RoutingPolicies;
 import org.mangoridge.settings.InstanceSettings;
 import org.mangoridge.settings.deployment.KeyHash;
 import org.mangoridge.standin.engine.EngineProfile;
@@ -35,6 +36,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_BODY_BYTES = 64 << 10;
     private static final long SEED = 1;
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("scot-central-a");
 
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private final EntryInstance instance;
@@ -58,7 +60,7 @@
                 .publish(config.toString());
         instance = own(EntryInstance.start(
                 settings(platform.address()),
-                BaselinePolicy.create(new SplittableRandom(SEED)),
+                RoutingPolicies.create(PolicyName.CURRENT, ZONE, new SplittableRandom(SEED)),
                 clock,
                 new java.util.Random(SEED)));
     }
@@ -94,7 +96,7 @@
     private static InstanceSettings settings(HostPort platform) {
         return new InstanceSettings(
                 InstanceId.of("entry-1"),
-                AvailabilityZone.of("scot-central-a"),
+                ZONE,
                 ANY_PORT,
                 ANY_PORT,
                 ANY_PORT,
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
@@ -0,0 +1,151 @@
+package org.mangoridge.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.RequestId;
+
+/** Follows attempts from start to end, keeps the load estimates in step and learns from what was observed. */
+final class AttemptTracker {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double PREFILL_OVERHEAD_SECONDS = 0.005;
+    private static final double FIRST_TOKEN_OVERHEAD_SECONDS = 0.003;
+    private static final double STALLED_RATIO = 10;
+    private static final int LEAST_TOKENS_FOR_PACE = 8;
+
+    private final ServerTable servers;
+    private final WorkspaceShares shares;
+    private final OutputLengths lengths;
+    private final Map<RequestId, TrackedRequest> requests = new HashMap<>();
+
+    AttemptTracker(ServerTable servers, WorkspaceShares shares, OutputLengths lengths) {
+        this.servers = servers;
+        this.shares = shares;
+        this.lengths = lengths;
+    }
+
+    /** Begins to follow a request. */
+    TrackedRequest arrived(RequestFacts facts) {
+        TrackedRequest request = new TrackedRequest(facts);
+        requests.put(facts.id(), request);
+        return request;
+    }
+
+    Optional<TrackedRequest> find(RequestId id) {
+        return Optional.ofNullable(requests.get(id));
+    }
+
+    /** Returns the request whose attempt {@code attempt} runs; empty if the attempt was given up. */
+    Optional<TrackedRequest> running(AttemptId attempt) {
+        TrackedRequest request = requests.get(attempt.request());
+        return request != null && request.isRunning() && request.attempt().equals(attempt)
+                ? Optional.of(request)
+                : Optional.empty();
+    }
+
+    /** Ends following a request. */
+    void forget(RequestId id) {
+        requests.remove(id);
+    }
+
+    int size() {
+        return requests.size();
+    }
+
+    /** Starts an attempt at the servers of {@code candidate}. */
+    AttemptId start(TrackedRequest request, Candidate candidate, long nowNanos) {
+        AttemptId attempt = request.begin(candidate, nowNanos);
+        RequestFacts facts = request.facts();
+        int pieces =
+                PlacementSearch.pieces(candidate.decode().estimate().load(), facts.promptTokens() + facts.maxTokens());
+        if (candidate.transfers()) {
+            candidate.prefill().estimate().sent(attempt, false, 0, candidate.prefillTokens(), nowNanos);
+            candidate.decode().estimate().sent(attempt, true, pieces, 0, nowNanos);
+            long readyNanos = nowNanos + (long) (candidate.prefillSeconds() * NANOS_PER_SECOND);
+            candidate.decode().estimate().planTransfer(readyNanos, candidate.transferSeconds());
+        } else {
+            candidate.decode().estimate().sent(attempt, true, pieces, candidate.prefillTokens(), nowNanos);
+        }
+        shares.began(facts.caller().workspace());
+        return attempt;
+    }
+
+    /** Takes in that KV cache was computed. */
+    void prefillDone(TrackedRequest request, long nowNanos) {
+        Candidate candidate = request.candidate();
+        request.prefillDone(nowNanos);
+        if (candidate.transfers()) {
+            candidate.prefill().estimate().ended(request.attempt());
+            candidate.prefill().health().succeeded();
+        }
+        candidate
+                .prefill()
+                .prefillCalibration()
+                .learn(
+                        request.plainPrefillSeconds() + PREFILL_OVERHEAD_SECONDS,
+                        seconds(nowNanos - request.placedNanos()),
+                        nowNanos);
+    }
+
+    /** Takes in that the first token was sent. */
+    void firstToken(TrackedRequest request, long nowNanos) {
+        request.firstToken(nowNanos);
+        Candidate candidate = request.candidate();
+        if (request.prefillDoneNanos() > 0 && candidate.transfers()) {
+            double ratio = candidate.decode().transferCalibration().ratio(nowNanos);
+            double forecast = candidate.transferSeconds() / ratio + FIRST_TOKEN_OVERHEAD_SECONDS;
+            double observed = seconds(nowNanos - request.prefillDoneNanos()) - candidate.tokenSeconds();
+            candidate.decode().transferCalibration().learn(forecast, observed, nowNanos);
+        }
+    }
+
+    /** Ends the attempt that runs, whatever its outcome, and returns the seconds that it held its slot. */
+    double end(TrackedRequest request, AttemptOutcome outcome, long nowNanos) {
+        Candidate candidate = request.candidate();
+        candidate.prefill().estimate().ended(request.attempt());
+        candidate.decode().estimate().ended(request.attempt());
+        shares.ended(request.facts().caller().workspace());
+        request.end();
+        switch (outcome) {
+            case AttemptOutcome.Completed completed -> completed(request, completed.outputTokens(), nowNanos);
+            case AttemptOutcome.CallerGone gone -> {
+                // says nothing about the servers
+            }
+            case AttemptOutcome.Failed failed -> failed(request, failed, nowNanos);
+        }
+        return seconds(nowNanos - request.placedNanos());
+    }
+
+    private void completed(TrackedRequest request, int outputTokens, long nowNanos) {
+        ServerState decode = request.candidate().decode();
+        decode.health().succeeded();
+        int tokens = outputTokens - request.outputTokens();
+        lengths.learn(request.facts().caller().id(), outputTokens);
+        if (tokens >= LEAST_TOKENS_FOR_PACE && request.firstTokenNanos() > 0) {
+            double interval = seconds(nowNanos - request.firstTokenNanos()) / (tokens - 1);
+            double slots = (request.slotsAtFirstToken() + decode.estimate().slotsUsed() + 1) / 2;
+            decode.pace().learn(slots, interval, nowNanos);
+        }
+    }
+
+    private void failed(TrackedRequest request, AttemptOutcome.Failed failed, long nowNanos) {
+        request.failed(failed);
+        ServerState server = servers.find(failed.server()).orElse(null);
+        if (server == null) {
+            return;
+        }
+        switch (failed.kind()) {
+            case FULL -> server.estimate().full();
+            case EVICTED -> server.transferCalibration().learn(1, STALLED_RATIO, nowNanos);
+            case UNREACHABLE -> server.health().failed(true, nowNanos);
+            default -> server.health().failed(false, nowNanos);
+        }
+    }
+
+    private static double seconds(long nanos) {
+        return nanos / NANOS_PER_SECOND;
+    }
+}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Average.java
@@ -0,0 +1,28 @@
+package org.mangoridge.routing;
+
+/** An exponentially weighted average that starts from a given value. */
+final class Average {
+
+    private final double weightOfNewest;
+    private double value;
+    private boolean sampled;
+
+    Average(double initial, double weightOfNewest) {
+        this.value = initial;
+        this.weightOfNewest = weightOfNewest;
+    }
+
+    /** Adds a sample; the first one replaces the initial value. */
+    void add(double sample) {
+        value = sampled ? value + weightOfNewest * (sample - value) : sample;
+        sampled = true;
+    }
+
+    double value() {
+        return value;
+    }
+
+    boolean isSampled() {
+        return sampled;
+    }
+}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
@@ -0,0 +1,326 @@
+package org.mangoridge.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+
+import org.mangoridge.core.Checks;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.core.verdict.Verdict;
+
+/**
+ * The policy that entry instances run; see {@code docs/design/routing.md}.
+ *
+ * <p>A request that can't wait is placed or refused at once. One that can wait is queued until it fits between the
+ * others. Failed attempts are repeated elsewhere from a budget.
+ */
+public final class DefaultRoutingPolicy implements RoutingPolicy {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int MAX_ATTEMPTS = 4;
+    private static final int MAX_ATTEMPTS_TO_RESUME = 8;
+    private static final int URGENT_PRIORITY = 10;
+    private static final int PATIENT_PRIORITY = 0;
+    private static final int RESUME_PRIORITY = 20;
+    private static final int HEADS_TRIED = 4;
+    private static final double HOPELESS_DOUBT = 2;
+    private static final double OUTPUT_TOKEN_COST = 0.1;
+    private static final long UPKEEP_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long SHORTEST_BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
+    private static final int MAX_BACKOFF_DOUBLINGS = 5;
+
+    /** A retry that waits for its backoff. */
+    private record Delayed(RequestId request, long dueNanos) {}
+
+    private final RandomGenerator random;
+    private final ServerTable servers;
+    private final WorkspaceShares shares = new WorkspaceShares();
+    private final InstanceCount instances = new InstanceCount();
+    private final OutputLengths lengths = new OutputLengths();
+    private final RetryBudget budget = new RetryBudget();
+    private final Map<ServiceId, ServiceState> services = new HashMap<>();
+    private final PriorityQueue<Delayed> delayed =
+            new PriorityQueue<>((one, two) -> Long.compare(one.dueNanos(), two.dueNanos()));
+    private final AttemptTracker attempts;
+    private final Admission admission;
+    private long upkeepNanos;
+
+    private DefaultRoutingPolicy(AvailabilityZone ownZone, RandomGenerator random) {
+        this.random = random;
+        this.servers = new ServerTable(random);
+        this.attempts = new AttemptTracker(servers, shares, lengths);
+        this.admission = new Admission(servers, shares, instances, new PlacementSearch(ownZone, random), random);
+    }
+
+    /** Returns a policy for an instance in {@code ownZone} that draws its choices from {@code random}. */
+    public static DefaultRoutingPolicy create(AvailabilityZone ownZone, RandomGenerator random) {
+        return new DefaultRoutingPolicy(Checks.notNull(ownZone, "ownZone"), Checks.notNull(random, "random"));
+    }
+
+    @Override
+    public List<RoutingAction> on(RoutingEvent event, Duration now) {
+        long nowNanos = now.toNanos();
+        List<RoutingAction> actions = new ArrayList<>(1);
+        switch (event) {
+            case RoutingEvent.RequestArrived arrived -> arrived(arrived.facts(), nowNanos, actions);
+            case RoutingEvent.AttemptEnded ended -> ended(ended, nowNanos, actions);
+            case RoutingEvent.RequestAbandoned abandoned -> abandoned(abandoned.request(), nowNanos);
+            case RoutingEvent.PrefillDone done ->
+                attempts.running(done.attempt()).ifPresent(request -> {
+                    attempts.prefillDone(request, nowNanos);
+                    dispatch(request.facts().service(), nowNanos, actions);
+                });
+            case RoutingEvent.FirstTokenSent sent ->
+                attempts.running(sent.attempt()).ifPresent(request -> attempts.firstToken(request, nowNanos));
+            case RoutingEvent.LoadReported reported ->
+                servers.find(reported.server()).ifPresent(server -> {
+                    server.reported(reported.load(), nowNanos);
+                    instances.reported(reported.load().attempts(), nowNanos);
+                    dispatch(server.server().service(), nowNanos, actions);
+                });
+            case RoutingEvent.LoadReportMissed missed ->
+                servers.find(missed.server())
+                        .ifPresent(server -> server.health().reportMissed());
+            case RoutingEvent.ServerLeaving leaving ->
+                servers.find(leaving.server())
+                        .ifPresent(server -> server.health().leaves());
+            case RoutingEvent.PeerInFlight peer ->
+                peer.inFlight().forEach((id, count) -> servers.find(id)
+                        .ifPresent(server -> server.estimate().peer(peer.peer(), count, nowNanos)));
+            case RoutingEvent.PeerGone gone ->
+                servers.all().forEach(server -> server.estimate().peerGone(gone.peer()));
+            case RoutingEvent.DeploymentAdopted adopted -> {
+                servers.adopt(adopted.deployment());
+                services.keySet()
+                        .removeIf(id -> adopted.deployment().service(id).isEmpty()
+                                && services.get(id).queue().isEmpty());
+            }
+            case RoutingEvent.Tick tick -> tick(nowNanos, actions);
+        }
+        return actions;
+    }
+
+    private void arrived(RequestFacts facts, long nowNanos, List<RoutingAction> actions) {
+        budget.requestArrived();
+        ServiceState service = service(facts.service());
+        shares.asked(facts.caller().workspace(), facts.callerClass().share(), nowNanos);
+        TrackedRequest request = attempts.arrived(facts);
+        boolean canWait = facts.callerClass().canWait();
+        if (!canWait) {
+            service.demand().urgentArrived(facts, nowNanos);
+        }
+        if (canWait && !service.queue().isEmpty()) {
+            queue(request, service, nowNanos, actions);
+            return;
+        }
+        switch (admission.decide(request, service.demand(), nowNanos)) {
+            case Admission.Start start -> start(request, start.candidate(), nowNanos, actions);
+            case Admission.NotNow notNow -> {
+                boolean starting = notNow.reason() == RefusalReason.NO_SERVER && servers.awaitsReports(facts.service());
+                if (canWait || starting) {
+                    queue(request, service, nowNanos, actions);
+                } else {
+                    refuse(request, notNow.reason(), notNow.detail(), nowNanos, actions);
+                }
+            }
+        }
+    }
+
+    private void ended(RoutingEvent.AttemptEnded ended, long nowNanos, List<RoutingAction> actions) {
+        Optional<TrackedRequest> running = attempts.running(ended.attempt());
+        if (running.isEmpty()) {
+            return;
+        }
+        TrackedRequest request = running.get();
+        ServiceState service = service(request.facts().service());
+        double heldSeconds = attempts.end(request, ended.outcome(), nowNanos);
+        if (ended.outcome() instanceof AttemptOutcome.Failed failed) {
+            afterFailure(request, failed, nowNanos, actions);
+        } else {
+            service.demand().slotHeld(heldSeconds);
+            attempts.forget(request.facts().id());
+        }
+        dispatch(request.facts().service(), nowNanos, actions);
+    }
+
+    private void afterFailure(
+            TrackedRequest request, AttemptOutcome.Failed failed, long nowNanos, List<RoutingAction> actions) {
+        int mostAttempts = request.outputTokens() > 0 ? MAX_ATTEMPTS_TO_RESUME : MAX_ATTEMPTS;
+        if (request.attempt().number() >= mostAttempts || !budget.take()) {
+            refuse(request, reason(failed), "the backend servers failed", nowNanos, actions);
+        } else if (request.failures() == 1) {
+            retry(request, nowNanos, actions);
+        } else {
+            delay(request, nowNanos, actions);
+        }
+    }
+
+    private void retry(TrackedRequest request, long nowNanos, List<RoutingAction> actions) {
+        if (nowNanos >= request.facts().deadline().toNanos()) {
+            refuse(request, RefusalReason.DEADLINE, "the deadline passed", nowNanos, actions);
+            return;
+        }
+        boolean resumes = request.outputTokens() > 0;
+        ServiceState service = service(request.facts().service());
+        Admission.Decision decision = resumes
+                ? admission.decideResume(request, nowNanos)
+                : admission.decide(request, service.demand(), nowNanos);
+        switch (decision) {
+            case Admission.Start start -> start(request, start.candidate(), nowNanos, actions);
+            case Admission.NotNow notNow -> {
+                if (resumes && request.waitForRoom()) {
+                    delay(request, nowNanos, actions);
+                } else if (!resumes && request.facts().callerClass().canWait()) {
+                    queue(request, service, nowNanos, actions);
+                } else {
+                    refuse(request, notNow.reason(), notNow.detail(), nowNanos, actions);
+                }
+            }
+        }
+    }
+
+    private void delay(TrackedRequest request, long nowNanos, List<RoutingAction> actions) {
+        long backoff = SHORTEST_BACKOFF_NANOS
+                << Math.min(MAX_BACKOFF_DOUBLINGS, request.failures() + request.waitsForRoom() - 1);
+        long due = nowNanos + (long) (backoff * (0.5 + random.nextDouble()));
+        if (due >= request.facts().deadline().toNanos()) {
+            refuse(request, RefusalReason.DEADLINE, "the deadline leaves no time to try again", nowNanos, actions);
+            return;
+        }
+        delayed.add(new Delayed(request.facts().id(), due));
+    }
+
+    private void abandoned(RequestId id, long nowNanos) {
+        attempts.find(id).ifPresent(request -> {
+            service(request.facts().service()).queue().remove(id);
+            if (request.isRunning()) {
+                attempts.end(request, new AttemptOutcome.CallerGone(request.outputTokens()), nowNanos);
+            }
+            attempts.forget(id);
+        });
+    }
+
+    private void tick(long nowNanos, List<RoutingAction> actions) {
+        while (!delayed.isEmpty() && delayed.peek().dueNanos() <= nowNanos) {
+            attempts.find(delayed.poll().request())
+                    .filter(request -> !request.isRunning())
+                    .ifPresent(request -> retry(request, nowNanos, actions));
+        }
+        for (ServiceId service : List.copyOf(services.keySet())) {
+            dispatch(service, nowNanos, actions);
+        }
+        if (nowNanos - upkeepNanos >= UPKEEP_NANOS) {
+            upkeepNanos = nowNanos;
+            shares.forget(nowNanos);
+            instances.forget(nowNanos);
+            services.values().forEach(service -> service.queue()
+                    .takeHopeless(HOPELESS_DOUBT, nowNanos)
+                    .forEach(waiting -> refuseWaiting(waiting, nowNanos, actions)));
+        }
+    }
+
+    /** Starts waiting requests as long as those whose turn it is fit. */
+    private void dispatch(ServiceId id, long nowNanos, List<RoutingAction> actions) {
+        ServiceState service = services.get(id);
+        if (service == null) {
+            return;
+        }
+        WaitingQueue queue = service.queue();
+        for (int tried = 0; tried < HEADS_TRIED && !queue.isEmpty(); tried++) {
+            WaitingQueue.Waiting head = queue.head().orElseThrow();
+            RequestFacts facts = head.facts();
+            TrackedRequest request = attempts.find(facts.id()).orElseThrow();
+            if (nowNanos >= head.limitNanos()) {
+                queue.remove(facts.id());
+                refuseWaiting(head, nowNanos, actions);
+                continue;
+            }
+            Admission.Decision decision = admission.decide(request, service.demand(), nowNanos);
+            if (decision instanceof Admission.NotNow notNow) {
+                if (facts.callerClass().canWait() || notNow.reason() == RefusalReason.NO_SERVER) {
+                    return;
+                }
+                queue.remove(facts.id());
+                refuse(request, notNow.reason(), notNow.detail(), nowNanos, actions);
+                continue;
+            }
+            queue.startHead(facts.promptTokens() * OUTPUT_TOKEN_COST + lengths.expected(facts), nowNanos);
+            start(request, ((Admission.Start) decision).candidate(), nowNanos, actions);
+        }
+    }
+
+    private void queue(TrackedRequest request, ServiceState service, long nowNanos, List<RoutingAction> actions) {
+        RequestFacts facts = request.facts();
+        Duration longest = facts.callerClass().canWait()
+                ? facts.callerClass().maxWait()
+                : facts.callerClass().firstToken();
+        long limit = Math.min(
+                facts.arrived().plus(longest).toNanos(), facts.deadline().toNanos());
+        double wait = service.queue().waitSeconds(facts.caller().workspace(), nowNanos);
+        if (wait > (limit - nowNanos) / NANOS_PER_SECOND) {
+            refuse(request, RefusalReason.NO_CAPACITY, "the queue is longer than the wait allowed", nowNanos, actions);
+            return;
+        }
+        service.queue()
+                .add(new WaitingQueue.Waiting(facts, limit), nowNanos)
+                .ifPresent(dropped -> refuseWaiting(dropped, nowNanos, actions));
+    }
+
+    private void refuseWaiting(WaitingQueue.Waiting waiting, long nowNanos, List<RoutingAction> actions) {
+        attempts.find(waiting.facts().id())
+                .ifPresent(request -> refuse(
+                        request,
+                        RefusalReason.NO_CAPACITY,
+                        "no server has room within the wait allowed",
+                        nowNanos,
+                        actions));
+    }
+
+    private void start(TrackedRequest request, Candidate candidate, long nowNanos, List<RoutingAction> actions) {
+        AttemptId attempt = attempts.start(request, candidate, nowNanos);
+        int priority = priority(request);
+        actions.add(new RoutingAction.Place(
+                attempt,
+                new Placement(candidate.prefill().id(), candidate.decode().id(), true, priority)));
+    }
+
+    private void refuse(
+            TrackedRequest request, RefusalReason reason, String detail, long nowNanos, List<RoutingAction> actions) {
+        RequestFacts facts = request.facts();
+        Demand demand = service(facts.service()).demand();
+        demand.refused(nowNanos);
+        attempts.forget(facts.id());
+        Refusal refusal = request.verdict() == Verdict.RAN && request.outputTokens() > 0
+                ? Refusal.of(reason, request.verdict(), detail)
+                : new Refusal(
+                        reason, request.verdict(), detail, Optional.of(admission.retryAfter(facts, demand, nowNanos)));
+        actions.add(new RoutingAction.Refuse(facts.id(), refusal));
+    }
+
+    private ServiceState service(ServiceId id) {
+        return services.computeIfAbsent(id, key -> new ServiceState());
+    }
+
+    private static int priority(TrackedRequest request) {
+        if (request.outputTokens() > 0) {
+            return RESUME_PRIORITY;
+        }
+        return request.facts().callerClass().canWait() ? PATIENT_PRIORITY : URGENT_PRIORITY;
+    }
+
+    private static RefusalReason reason(AttemptOutcome.Failed failed) {
+        return failed.kind() == AttemptOutcome.FailureKind.FULL
+                ? RefusalReason.NO_CAPACITY
+                : RefusalReason.SERVER_FAILED;
+    }
+}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/OutputLengths.java
@@ -0,0 +1,35 @@
+package org.mangoridge.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.mangoridge.core.id.CallerId;
+
+/** Learns how many tokens the answers of each caller have; keeps the callers that were seen last. */
+final class OutputLengths {
+
+    private static final int MAX_CALLERS = 4096;
+    private static final double WEIGHT_OF_NEWEST = 0.1;
+    private static final double INITIAL_TOKENS = 128;
+
+    private final Map<CallerId, Average> averages = new LinkedHashMap<>(16, 0.75f, true);
+
+    /** Learns the length of one whole answer. */
+    void learn(CallerId caller, int outputTokens) {
+        averages.computeIfAbsent(caller, c -> new Average(INITIAL_TOKENS, WEIGHT_OF_NEWEST))
+                .add(outputTokens);
+        if (averages.size() > MAX_CALLERS) {
+            averages.remove(averages.keySet().iterator().next());
+        }
+    }
+
+    /** Forecasts the length of the answer to a request. */
+    double expected(RequestFacts facts) {
+        Average average = averages.get(facts.caller().id());
+        return Math.min(facts.maxTokens(), average == null ? INITIAL_TOKENS : average.value());
+    }
+
+    int size() {
+        return averages.size();
+    }
+}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/PlacementSearch.java
@@ -0,0 +1,233 @@
+package org.mangoridge.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+
+/**
+ * Finds servers for a request: prefill, transfer and decode planned together.
+ *
+ * <p>The best prefill and the best decode server of each availability zone are paired, so that the work grows with the
+ * number of servers and not with the number of pairs.
+ */
+final class PlacementSearch {
+
+    private static final double OVERHEAD_SECONDS = 0.008;
+    private static final double OTHER_ZONE_SECONDS = 0.02;
+    private static final double CROSS_ZONE_TRANSFER_SECONDS = 0.01;
+    private static final double FULL_SERVER_SECONDS = 0.05;
+    private static final double JITTER_SECONDS = 0.004;
+    private static final double LOCAL_PREFILL_SECONDS_PER_STREAM = 0.02;
+
+    /**
+     * What is asked for.
+     *
+     * @param facts the request
+     * @param tokens the tokens that have to fit into memory
+     * @param promptTokens the tokens to compute KV cache for
+     * @param avoid servers not to choose
+     * @param slotsKept how many slots of a server have to stay free
+     * @param prefillWaitLimitSeconds the longest wait for a prefill to begin
+     * @param firstTokenLimitSeconds the longest time to the first token
+     * @param tokenLimitSeconds the longest time between tokens
+     */
+    record Query(
+            RequestFacts facts,
+            int tokens,
+            int promptTokens,
+            List<ServerId> avoid,
+            int slotsKept,
+            double prefillWaitLimitSeconds,
+            double firstTokenLimitSeconds,
+            double tokenLimitSeconds) {}
+
+    /** What the search came to. */
+    sealed interface Found {}
+
+    /** A placement that meets the limits. */
+    record Placed(Candidate candidate) implements Found {}
+
+    /** No server of the service is known and fit. */
+    record NoServer() implements Found {}
+
+    /** No decode server has room. */
+    record NoRoom() implements Found {}
+
+    /** The limits can't be met; {@code best} comes nearest. */
+    record TooLate(Candidate best) implements Found {}
+
+    private record PrefillChoice(ServerState server, double waitSeconds, double seconds, int tokens, double cost) {}
+
+    private record DecodeChoice(
+            ServerState server, double linkWaitSeconds, double transferSeconds, double tokenSeconds, double cost) {}
+
+    private final AvailabilityZone ownZone;
+    private final RandomGenerator random;
+
+    PlacementSearch(AvailabilityZone ownZone, RandomGenerator random) {
+        this.ownZone = ownZone;
+        this.random = random;
+    }
+
+    /** Searches among servers that are fit; {@code prefill} and {@code decode} may share members. */
+    Found search(Query query, List<ServerState> prefill, List<ServerState> decode, long nowNanos) {
+        if (prefill.isEmpty() || decode.isEmpty()) {
+            return new NoServer();
+        }
+        List<DecodeChoice> decodeByZone = new ArrayList<>();
+        Candidate local = null;
+        for (ServerState server : decode) {
+            if (!hasRoom(server, query, nowNanos)) {
+                continue;
+            }
+            DecodeChoice choice = decodeChoice(server, query, nowNanos);
+            keepBest(decodeByZone, choice);
+            if (server.server().role().prefills()) {
+                local = better(local, localCandidate(choice, query, nowNanos), query);
+            }
+        }
+        if (decodeByZone.isEmpty()) {
+            return new NoRoom();
+        }
+        List<PrefillChoice> prefillByZone = new ArrayList<>();
+        for (ServerState server : prefill) {
+            if (query.avoid().contains(server.id())) {
+                continue;
+            }
+            PrefillChoice choice = prefillChoice(server, query, nowNanos);
+            if (choice.waitSeconds() <= query.prefillWaitLimitSeconds()) {
+                keepBest(prefillByZone, choice);
+            }
+        }
+        Candidate best = local;
+        for (DecodeChoice to : decodeByZone) {
+            for (PrefillChoice from : prefillByZone) {
+                if (from.server() != to.server()) {
+                    best = better(best, pair(from, to), query);
+                }
+            }
+        }
+        if (best == null) {
+            return new NoRoom();
+        }
+        return meets(best, query) ? new Placed(best) : new TooLate(best);
+    }
+
+    private static boolean hasRoom(ServerState server, Query query, long nowNanos) {
+        if (query.avoid().contains(server.id())) {
+            return false;
+        }
+        LoadEstimate estimate = server.estimate();
+        ServerLoad load = estimate.load();
+        double withheld = load.slots() * (1 - server.health().roomShare(nowNanos));
+        return estimate.freeSlots() - withheld - query.slotsKept() >= 1
+                && estimate.freePieces() >= pieces(load, query.tokens());
+    }
+
+    /** Returns how many memory pieces hold {@code tokens}. */
+    static int pieces(ServerLoad load, int tokens) {
+        return Math.max(1, (tokens + load.pieceTokens() - 1) / load.pieceTokens());
+    }
+
+    private PrefillChoice prefillChoice(ServerState server, Query query, long nowNanos) {
+        int tokens = query.promptTokens();
+        double secondsPerToken = server.prefillCalibration().ratio(nowNanos)
+                / Math.max(1, server.estimate().load().prefillTokensPerSecond());
+        double wait = server.estimate().prefillTokens(nowNanos) * secondsPerToken;
+        double seconds = wait + tokens * secondsPerToken;
+        double slowStart = 1 / server.health().roomShare(nowNanos);
+        double cost = seconds * slowStart + zoneCost(server) + random.nextDouble() * JITTER_SECONDS;
+        return new PrefillChoice(server, wait, seconds, tokens, cost);
+    }
+
+    private DecodeChoice decodeChoice(ServerState server, Query query, long nowNanos) {
+        LoadEstimate estimate = server.estimate();
+        ServerLoad load = estimate.load();
+        double bytes = (double) query.promptTokens() * load.kvBytesPerToken();
+        double transfer = bytes
+                / Math.max(1, load.linkBytesPerSecond())
+                * server.transferCalibration().ratio(nowNanos);
+        double used = estimate.slotsUsed() + 1.0;
+        double token = server.pace().secondsAt(used, nowNanos);
+        double linkWait = estimate.linkWaitSeconds(nowNanos);
+        double cost = linkWait
+                + transfer
+                + token
+                + FULL_SERVER_SECONDS * used / Math.max(1, load.slots())
+                + zoneCost(server)
+                + random.nextDouble() * JITTER_SECONDS;
+        return new DecodeChoice(server, linkWait, transfer, token, cost);
+    }
+
+    private Candidate localCandidate(DecodeChoice decode, Query query, long nowNanos) {
+        PrefillChoice prefill = prefillChoice(decode.server(), query, nowNanos);
+        double disturbed = decode.server().estimate().slotsUsed() * LOCAL_PREFILL_SECONDS_PER_STREAM;
+        double cost = prefill.cost() + decode.cost() - decode.linkWaitSeconds() - decode.transferSeconds() + disturbed;
+        double first = OVERHEAD_SECONDS + prefill.seconds() + decode.tokenSeconds();
+        return new Candidate(
+                decode.server(),
+                decode.server(),
+                prefill.seconds(),
+                prefill.tokens(),
+                0,
+                first,
+                decode.tokenSeconds(),
+                cost);
+    }
+
+    private static Candidate pair(PrefillChoice from, DecodeChoice to) {
+        boolean sameZone =
+                from.server().server().zone().equals(to.server().server().zone());
+        double ready = from.seconds();
+        double linkWait = Math.max(0, to.linkWaitSeconds() - ready);
+        double first = OVERHEAD_SECONDS + ready + linkWait + to.transferSeconds() + to.tokenSeconds();
+        double cost = from.cost() + to.cost() + (sameZone ? 0 : CROSS_ZONE_TRANSFER_SECONDS);
+        return new Candidate(
+                from.server(), to.server(), ready, from.tokens(), to.transferSeconds(), first, to.tokenSeconds(), cost);
+    }
+
+    private double zoneCost(ServerState server) {
+        return server.server().zone().equals(ownZone) ? 0 : OTHER_ZONE_SECONDS;
+    }
+
+    private static Candidate better(Candidate one, Candidate two, Query query) {
+        if (one == null) {
+            return two;
+        }
+        boolean oneMeets = meets(one, query);
+        if (oneMeets != meets(two, query)) {
+            return oneMeets ? one : two;
+        }
+        return one.cost() <= two.cost() ? one : two;
+    }
+
+    private static boolean meets(Candidate candidate, Query query) {
+        return candidate.firstTokenSeconds() <= query.firstTokenLimitSeconds()
+                && candidate.tokenSeconds() <= query.tokenLimitSeconds();
+    }
+
+    private static void keepBest(List<PrefillChoice> byZone, PrefillChoice choice) {
+        for (int i = 0; i < byZone.size(); i++) {
+            PrefillChoice other = byZone.get(i);
+            if (other.server().server().zone().equals(choice.server().server().zone())) {
+                byZone.set(i, other.cost() <= choice.cost() ? other : choice);
+                return;
+            }
+        }
+        byZone.add(choice);
+    }
+
+    private static void keepBest(List<DecodeChoice> byZone, DecodeChoice choice) {
+        for (int i = 0; i < byZone.size(); i++) {
+            DecodeChoice other = byZone.get(i);
+            if (other.server().server().zone().equals(choice.server().server().zone())) {
+                byZone.set(i, other.cost() <= choice.cost() ? other : choice);
+                return;
+            }
+        }
+        byZone.add(choice);
+    }
+}
--- /dev/null
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/WorkspaceShares.java
@@ -0,0 +1,92 @@
+package org.mangoridge.routing;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.mangoridge.core.id.WorkspaceId;
+
+/** Divides this instance's room between the workspaces that used it lately, by the weights of their classes. */
+final class WorkspaceShares {
+
+    private static final int MAX_WORKSPACES = 4096;
+    private static final long ACTIVE_NANOS = Duration.ofSeconds(10).toNanos();
+    private static final double BURST = 1.25;
+
+    private static final class Use {
+
+        private final int weight;
+        private int inFlight;
+        private long usedNanos;
+
+        private Use(int weight) {
+            this.weight = weight;
+        }
+    }
+
+    private final Map<WorkspaceId, Use> uses = new LinkedHashMap<>(16, 0.75f, true);
+    private int inFlight;
+    private long activeWeight;
+
+    /** Notes that a workspace asked for something. */
+    void asked(WorkspaceId workspace, int weight, long nowNanos) {
+        Use use = uses.get(workspace);
+        if (use == null) {
+            use = new Use(weight);
+            uses.put(workspace, use);
+            activeWeight += weight;
+        }
+        use.usedNanos = nowNanos;
+        if (uses.size() > MAX_WORKSPACES) {
+            dropEldest();
+        }
+    }
+
+    /** Notes that an attempt began. */
+    void began(WorkspaceId workspace) {
+        Use use = uses.get(workspace);
+        if (use != null) {
+            use.inFlight++;
+            inFlight++;
+        }
+    }
+
+    /** Notes that an attempt ended. */
+    void ended(WorkspaceId workspace) {
+        Use use = uses.get(workspace);
+        if (use != null && use.inFlight > 0) {
+            use.inFlight--;
+            inFlight--;
+        }
+    }
+
+    /** Forgets workspaces that have been idle for a while. */
+    void forget(long nowNanos) {
+        uses.values().removeIf(use -> {
+            boolean idle = use.inFlight == 0 && nowNanos - use.usedNanos > ACTIVE_NANOS;
+            activeWeight -= idle ? use.weight : 0;
+            return idle;
+        });
+    }
+
+    /** Tells whether a workspace has what is due to it, if this instance may use {@code freeSlots} more. */
+    boolean isExhausted(WorkspaceId workspace, double freeSlots) {
+        Use use = uses.get(workspace);
+        if (use == null || uses.size() == 1) {
+            return false;
+        }
+        double due = (inFlight + Math.max(0, freeSlots)) * use.weight / activeWeight;
+        return use.inFlight >= Math.max(1, Math.ceil(due * BURST));
+    }
+
+    int size() {
+        return uses.size();
+    }
+
+    private void dropEldest() {
+        WorkspaceId eldest = uses.keySet().iterator().next();
+        Use dropped = uses.remove(eldest);
+        activeWeight -= dropped.weight;
+        inFlight -= dropped.inFlight;
+    }
+}
