--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -36,7 +36,13 @@
     /** The platform does not answer. */
     PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
     /** The platform answers again. */
-    PLATFORM_BACK(502, Level.INFO, "platform back");
+    PLATFORM_BACK(502, Level.INFO, "platform back"),
+    /** This instance holds the lease of a service's orders. */
+    LEASE_TAKEN(801, Level.INFO, "lease taken"),
+    /** This instance no longer holds a lease. */
+    LEASE_LOST(802, Level.INFO, "lease lost"),
+    /** An order to an engine was answered or given up. */
+    ORDER_GIVEN(803, Level.INFO, "order given");
 
     private static final String PREFIX = "MR-";
 
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/LeaseStore.java
@@ -0,0 +1,51 @@
+package org.mangoridge.entry.orders;
+
+import java.util.Optional;
+
+import org.mangoridge.core.Result;
+import org.mangoridge.http.Json;
+import org.mangoridge.orders.lease.LeaseAction;
+import org.mangoridge.orders.lease.LeaseEvent;
+import org.mangoridge.orders.lease.LeaseRecord;
+import org.mangoridge.platform.ObjectKey;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.platform.StoredObject;
+
+/** Reads and writes one lease in the platform's store; calls block. */
+final class LeaseStore {
+
+    private final ObjectStore store;
+    private final ObjectKey key;
+
+    LeaseStore(ObjectStore store, ObjectKey key) {
+        this.store = store;
+        this.key = key;
+    }
+
+    /** Carries out an action and returns the event that answers it. */
+    LeaseEvent carryOut(LeaseAction action) {
+        return switch (action) {
+            case LeaseAction.ReadLease read -> read();
+            case LeaseAction.WriteLease write ->
+                new LeaseEvent.WriteSettled(store.write(key, Json.bytes(write.record()), write.condition()));
+        };
+    }
+
+    private LeaseEvent read() {
+        return switch (store.read(key)) {
+            case Result.Err<Optional<StoredObject>, StoreFailure> err -> new LeaseEvent.ReadFailed();
+            case Result.Ok<Optional<StoredObject>, StoreFailure> ok
+            when ok.value().isEmpty() -> new LeaseEvent.LeaseRead(Optional.empty());
+            case Result.Ok<Optional<StoredObject>, StoreFailure> ok ->
+                decode(ok.value().get());
+        };
+    }
+
+    private static LeaseEvent decode(StoredObject object) {
+        Result<LeaseRecord, String> record = Json.read(object.value(), LeaseRecord.class);
+        return record.isOk()
+                ? new LeaseEvent.LeaseRead(Optional.of(new LeaseEvent.StoredLease(record.value(), object.version())))
+                : new LeaseEvent.ReadFailed();
+    }
+}
