Publish a configuration in one step, audited, with an answer that is never wrong

Cause: the configuration was one value written without regard to who had written before, limited to 1 MB, with no trail; a lost answer left the operator guessing.

Change: apply sends the merged folder to any instance, which checks it, writes the pieces of the text that are new and the audit entry, and then replaces one head object under a condition. The head names the entry's hash, so that a change and its entry come into being in the same write. A lost answer is settled by the apply id: the head is written again unchanged to make a late write fail before the apply is called refused. An overtaken operator gets what changed and by whom. diff, status and audit go with it; check prints JSON.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -10,14 +10,18 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.mangoridge.cli.command.ApplyCommand;
+import org.mangoridge.cli.command.AuditCommand;
 import org.mangoridge.cli.command.CallCommand;
 import org.mangoridge.cli.command.CheckCommand;
 import org.mangoridge.cli.command.Command;
+import org.mangoridge.cli.command.DiffCommand;
 import org.mangoridge.cli.command.ExitCode;
 import org.mangoridge.cli.command.Invocation;
 import org.mangoridge.cli.command.KeyCommand;
 import org.mangoridge.cli.command.ServeCommand;
 import org.mangoridge.cli.command.StandInCommand;
+import org.mangoridge.cli.command.StatusCommand;
 import org.mangoridge.cli.command.UsageException;
 import org.mangoridge.cli.command.VersionCommand;
 import org.mangoridge.cli.demo.DemoCommand;
@@ -44,6 +48,10 @@
         return new Main(List.of(
                 new ServeCommand(),
                 new CheckCommand(),
+                new DiffCommand(),
+                new ApplyCommand(),
+                new StatusCommand(),
+                new AuditCommand(),
                 new CallCommand(),
                 new KeyCommand(),
                 new DemoCommand(),
@@ -88,7 +96,7 @@
         for (Command command : commands) {
             out.printf("  %-22s %s%n", (command.name() + " " + command.arguments()).trim(), command.summary());
         }
-        out.println("Exit codes: 0 done, 1 refused or failed, 2 wrong usage.");
+        out.println("Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 outcome unknown.");
     }
 
     private static void printHelp(Command command, Options options, PrintStream out) {
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/CheckCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/CheckCommand.java
@@ -5,8 +5,7 @@
 
 import org.apache.commons.cli.Options;
 import org.mangoridge.core.Result;
-import org.mangoridge.settings.deployment.DeploymentFolder;
-import org.mangoridge.settings.deployment.DeploymentParser;
+import org.mangoridge.http.Json;
 import org.mangoridge.settings.deployment.MergedSections;
 import org.mangoridge.settings.ini.IniEntry;
 import org.mangoridge.settings.ini.IniSection;
@@ -15,6 +14,9 @@
 /** Merges and checks a folder, and prints where each value came from. */
 public final class CheckCommand implements Command {
 
+    /** What is wrong with a folder, as {@code --json} prints it. */
+    private record Problems(List<Problem> problems) {}
+
     @Override
     public String name() {
         return "check";
@@ -32,20 +34,20 @@
 
     @Override
     public Options options() {
-        return new Options();
+        return new Options().addOption(null, "json", false, "print JSON");
     }
 
     @Override
     public ExitCode run(Invocation invocation) {
         Path folder = Path.of(invocation.onlyArgument("DIR"));
-        Result<MergedSections, List<Problem>> merged = DeploymentFolder.read(folder);
+        Result<MergedSections, List<Problem>> merged = FolderReader.read(folder);
+        if (invocation.has("json")) {
+            invocation.out().println(Json.text(merged.isOk() ? merged.value() : new Problems(merged.error())));
+            return merged.isOk() ? ExitCode.DONE : ExitCode.FAILED;
+        }
         if (!merged.isOk()) {
             return reject(invocation, merged.error());
         }
-        var parsed = DeploymentParser.parse(merged.value().sections());
-        if (!parsed.isOk()) {
-            return reject(invocation, parsed.error());
-        }
         merged.value().sections().forEach(section -> print(invocation, section));
         for (MergedSections.Override override : merged.value().overrides()) {
             invocation
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ExitCode.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ExitCode.java
@@ -7,7 +7,9 @@
     /** The command was refused or failed. */
     FAILED(1),
     /** The command line is wrong. */
-    USAGE(2);
+    USAGE(2),
+    /** What became of the command is not known; it may have taken effect. */
+    UNKNOWN(3);
 
     private final int code;
 
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-import org.mangoridge.config.ConfigRepository;
+import org.mangoridge.config.ApplyId;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
@@ -16,6 +18,7 @@
 import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.entry.EntryInstance;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.PolicyName;
 import org.mangoridge.routing.RoutingPolicies;
@@ -56,8 +59,9 @@
         orders = own(ServiceStandIn.start(ANY_PORT));
         config.append(server("orders-1", orders.address(), "plain", "orderdesk"));
         HttpTransport transport = own(HttpTransport.create(TIMEOUT));
-        ConfigRepository.create(HttpObjectStore.create(transport, platform.address(), TIMEOUT))
-                .publish(config.toString());
+        ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
+        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new java.util.Random(SEED)), clock)
+                .applyText(ApplyId.of("demo-1"), "demo", config.toString());
         instance = own(EntryInstance.start(
                 settings(platform.address()),
                 RoutingPolicies.create(PolicyName.CURRENT, ZONE, new SplittableRandom(SEED)),
--- a/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
@@ -1,9 +1,12 @@
 package org.mangoridge.config;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
+import org.mangoridge.config.content.Piece;
 import org.mangoridge.core.Result;
-import org.mangoridge.core.id.Generation;
 import org.mangoridge.http.Json;
 import org.mangoridge.platform.ObjectKey;
 import org.mangoridge.platform.ObjectStore;
@@ -12,10 +15,30 @@
 import org.mangoridge.platform.StoredObject;
 import org.mangoridge.platform.WriteOutcome;
 
-/** Keeps the configuration in force in the platform's store; calls block. */
+/**
+ * Keeps the configuration in the platform's store: one head object that names the pieces of the text.
+ *
+ * <p>Calls block. Safe for use by several threads.
+ */
 public final class ConfigRepository {
 
-    private static final ObjectKey HEAD = ObjectKey.of("config/head");
+    /** The prefix under which a watch sees the head and nothing else. */
+    public static final String HEAD_PATH = "config/head";
+
+    private static final ObjectKey HEAD = ObjectKey.of(HEAD_PATH);
+    private static final int WRITE_TRIES = 3;
+
+    /**
+     * The head as the store holds it.
+     *
+     * @param version the object's version, 0 if there is none
+     * @param manifest what it names
+     * @param hash the hash that it states
+     */
+    public record Head(long version, Manifest manifest, String hash) {}
+
+    /** The value of the head object. */
+    private record HeadMessage(String hash, Manifest manifest) {}
 
     private final ObjectStore store;
 
@@ -28,36 +51,102 @@
         return new ConfigRepository(store);
     }
 
-    /** Reads the configuration in force; empty if none was ever published. */
-    public Result<Optional<PublishedConfig>, StoreFailure> read() {
-        return store.read(HEAD).flatMap(ConfigRepository::decode);
+    /** Reads the head; one of generation 0 and version 0 if there is none. */
+    public Result<Head, StoreFailure> readHead() {
+        return store.read(HEAD).flatMap(object -> object.map(ConfigRepository::decodeHead)
+                .orElseGet(() -> Result.ok(
+                        new Head(0, Manifest.initial(), Manifest.initial().hash()))));
     }
 
-    /** Publishes {@code text} as the generation after the one in force. */
-    public WriteOutcome publish(String text) {
-        Result<Optional<StoredObject>, StoreFailure> current = store.read(HEAD);
-        if (!current.isOk()) {
-            return new WriteOutcome.NotWritten(current.error().detail());
+    /** Reads a head from the object that a watch gave; the error says why its hash does not verify. */
+    public static Result<Head, StoreFailure> decodeHead(StoredObject object) {
+        Result<HeadMessage, String> message = Json.read(object.value(), HeadMessage.class);
+        if (!message.isOk()) {
+            return Result.err(new StoreFailure("the head is malformed: " + message.error()));
         }
-        Result<Optional<PublishedConfig>, StoreFailure> inForce = decode(current.value());
-        if (!inForce.isOk()) {
-            return new WriteOutcome.NotWritten(inForce.error().detail());
+        Manifest manifest = message.value().manifest();
+        if (manifest == null || !manifest.hash().equals(message.value().hash())) {
+            return Result.err(new StoreFailure("the hash of the head does not verify"));
         }
-        Generation next =
-                inForce.value().map(config -> config.generation().next()).orElse(Generation.of(1));
-        Precondition condition = current.value()
-                .map(object -> Precondition.atVersion(object.version()))
-                .orElse(Precondition.absent());
-        return store.write(HEAD, Json.bytes(PublishedConfig.of(next, text)), condition);
+        return Result.ok(new Head(object.version(), manifest, message.value().hash()));
+    }
+
+    /** Writes the head if it has {@code version}; 0 if there must be none. */
+    public WriteOutcome writeHead(Manifest manifest, long version) {
+        Precondition condition = version == 0 ? Precondition.absent() : Precondition.atVersion(version);
+        return store.write(HEAD, Json.bytes(new HeadMessage(manifest.hash(), manifest)), condition);
     }
 
-    private static Result<Optional<PublishedConfig>, StoreFailure> decode(Optional<StoredObject> object) {
-        if (object.isEmpty()) {
-            return Result.ok(Optional.empty());
+    /** Reads the configuration that {@code head} names, and only the pieces that are not in {@code known}. */
+    public Result<PublishedConfig, StoreFailure> load(Head head, PublishedConfig known) {
+        Map<String, String> contents = new HashMap<>(known.contents());
+        for (Piece piece : head.manifest().pieces()) {
+            if (!contents.containsKey(piece.hash())) {
+                Result<Optional<StoredObject>, StoreFailure> read = store.read(key(piece));
+                if (!read.isOk()) {
+                    return Result.err(read.error());
+                }
+                read.value().ifPresent(object -> contents.put(piece.hash(), text(object)));
+            }
         }
-        return switch (Json.read(object.get().value(), PublishedConfig.class)) {
-            case Result.Ok<PublishedConfig, String> ok -> Result.ok(Optional.of(ok.value()));
+        return switch (PublishedConfig.verify(head.manifest(), head.hash(), contents)) {
+            case Result.Ok<PublishedConfig, String> ok -> Result.ok(ok.value());
             case Result.Err<PublishedConfig, String> err -> Result.err(new StoreFailure(err.error()));
         };
     }
+
+    /** Writes a piece; one that is there already has the same content, which its name states. */
+    public Result<Piece, StoreFailure> writePiece(Piece piece, String content) {
+        String detail = "";
+        for (int i = 0; i < WRITE_TRIES; i++) {
+            switch (store.write(key(piece), content.getBytes(StandardCharsets.UTF_8), Precondition.absent())) {
+                case WriteOutcome.Written written -> {
+                    return Result.ok(piece);
+                }
+                case WriteOutcome.Conflict conflict -> {
+                    return Result.ok(piece);
+                }
+                case WriteOutcome.NotWritten notWritten -> detail = notWritten.detail();
+                case WriteOutcome.Unknown unknown -> detail = unknown.detail();
+            }
+        }
+        return Result.err(new StoreFailure(detail));
+    }
+
+    /** Deletes a piece that no head names any more; one that stays takes room and does no harm. */
+    public void deletePiece(Piece piece) {
+        Result<Optional<StoredObject>, StoreFailure> read = store.read(key(piece));
+        if (read.isOk() && read.value().isPresent()) {
+            store.delete(key(piece), read.value().get().version());
+        }
+    }
+
+    /**
+     * Writes {@code config} back if the store holds an older one, as it does after it was restored from a copy.
+     *
+     * @return whether the store now holds it or a newer one
+     */
+    public boolean restore(PublishedConfig config) {
+        Result<Head, StoreFailure> head = readHead();
+        if (!head.isOk()) {
+            return false;
+        }
+        if (head.value().manifest().generation() >= config.manifest().generation()) {
+            return true;
+        }
+        for (Piece piece : config.manifest().pieces()) {
+            if (!writePiece(piece, config.contents().get(piece.hash())).isOk()) {
+                return false;
+            }
+        }
+        return writeHead(config.manifest(), head.value().version()) instanceof WriteOutcome.Written;
+    }
+
+    private static ObjectKey key(Piece piece) {
+        return ObjectKey.of("config/piece/" + piece.owner() + "/" + piece.hash());
+    }
+
+    private static String text(StoredObject object) {
+        return new String(object.value(), StandardCharsets.UTF_8);
+    }
 }
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditStore.java
@@ -0,0 +1,200 @@
+package org.mangoridge.config.audit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.mangoridge.config.content.Sha256;
+import org.mangoridge.core.Result;
+import org.mangoridge.http.Json;
+import org.mangoridge.platform.ObjectKey;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.Precondition;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.platform.StoredObject;
+import org.mangoridge.platform.WriteOutcome;
+
+/**
+ * Where the trails lie in the platform's store: entries, the tip of each trail, and its anchor.
+ *
+ * <p>The anchor states the newest entry that was removed by retention, so that what remains still verifies.
+ */
+public final class AuditStore {
+
+    /** The trail of accepted changes of the configuration. */
+    public static final String CHANGES = "config";
+
+    private static final int PAGE = 500;
+    private static final int CHANGES_PER_PIECE = 400;
+    private static final int WRITE_TRIES = 3;
+
+    /**
+     * Points at an entry.
+     *
+     * @param id the entry's name
+     * @param number its place in the trail
+     * @param hash its hash
+     */
+    public record Pointer(String id, long number, String hash) {
+
+        /** Returns the pointer before the first entry. */
+        public static Pointer start() {
+            return new Pointer("", 0, "");
+        }
+
+        /** Returns a pointer at {@code entry}. */
+        public static Pointer at(ChainedEntry entry) {
+            return new Pointer(entry.id(), entry.number(), entry.hash());
+        }
+    }
+
+    /** A list of changed keys as it is stored. */
+    private record ChangeList(List<KeyChange> changes) {}
+
+    private final ObjectStore store;
+
+    private AuditStore(ObjectStore store) {
+        this.store = store;
+    }
+
+    /** Returns the trails in {@code store}. */
+    public static AuditStore create(ObjectStore store) {
+        return new AuditStore(store);
+    }
+
+    /** Returns the key of an entry. */
+    static ObjectKey entryKey(String trail, String name) {
+        return ObjectKey.of("audit/" + trail + "/" + name);
+    }
+
+    /** Returns the key of the tip of {@code trail}. */
+    static ObjectKey tipKey(String trail) {
+        return ObjectKey.of("audit-tip/" + trail);
+    }
+
+    /** Returns the key of the anchor of {@code trail}. */
+    static ObjectKey anchorKey(String trail) {
+        return ObjectKey.of("audit-anchor/" + trail);
+    }
+
+    /** Reads an entry of a trail by the last word of its key. */
+    public Result<Optional<StoredObject>, StoreFailure> read(String trail, String name) {
+        return store.read(entryKey(trail, name));
+    }
+
+    /** Writes an entry under a condition. */
+    public WriteOutcome write(String trail, String name, ChainedEntry entry, Precondition condition) {
+        return store.write(entryKey(trail, name), entry.encoded(), condition);
+    }
+
+    /** Reads every entry of a trail, page by page; entries that can't be read are passed over. */
+    public Result<List<ChainedEntry>, StoreFailure> entries(String trail) {
+        List<ChainedEntry> entries = new ArrayList<>();
+        String after = "";
+        while (true) {
+            Result<List<StoredObject>, StoreFailure> page = store.list("audit/" + trail + "/", after, PAGE);
+            if (!page.isOk()) {
+                return Result.err(page.error());
+            }
+            for (StoredObject object : page.value()) {
+                Result<ChainedEntry, String> entry = ChainedEntry.decode(object.value());
+                if (entry.isOk()) {
+                    entries.add(entry.value());
+                }
+                after = object.key().path();
+            }
+            if (page.value().size() < PAGE) {
+                return Result.ok(entries);
+            }
+        }
+    }
+
+    /** Reads where a trail's tip or anchor points. */
+    Result<Pointer, StoreFailure> pointer(ObjectKey key) {
+        return store.read(key).map(object -> object.flatMap(value -> optional(Json.read(value.value(), Pointer.class)))
+                .orElse(Pointer.start()));
+    }
+
+    /** Moves a tip or an anchor forward; a lost update is made up for by the next one. */
+    void movePointer(ObjectKey key, Pointer pointer) {
+        Result<Optional<StoredObject>, StoreFailure> current = store.read(key);
+        if (!current.isOk()) {
+            return;
+        }
+        long number = current.value()
+                .flatMap(object -> optional(Json.read(object.value(), Pointer.class)))
+                .map(Pointer::number)
+                .orElse(0L);
+        if (number < pointer.number()) {
+            Precondition condition = current.value()
+                    .map(object -> Precondition.atVersion(object.version()))
+                    .orElse(Precondition.absent());
+            store.write(key, Json.bytes(pointer), condition);
+        }
+    }
+
+    /** Deletes an entry and its lists of changes. */
+    void delete(String trail, String name, ChainedEntry entry) {
+        for (String piece : entry.changePieces()) {
+            deleteObject(pieceKey(entry.id(), piece));
+        }
+        deleteObject(entryKey(trail, name));
+    }
+
+    /** Writes the changed keys of an apply and returns the hashes of the lists. */
+    public Result<List<String>, StoreFailure> writeChanges(String id, List<KeyChange> changes) {
+        List<String> hashes = new ArrayList<>();
+        for (int start = 0; start < changes.size(); start += CHANGES_PER_PIECE) {
+            List<KeyChange> part = changes.subList(start, Math.min(changes.size(), start + CHANGES_PER_PIECE));
+            byte[] json = Json.bytes(new ChangeList(part));
+            String hash = Sha256.of(json);
+            if (!isKept(pieceKey(id, hash), json)) {
+                return Result.err(new StoreFailure("the platform did not take the list of changes"));
+            }
+            hashes.add(hash);
+        }
+        return Result.ok(hashes);
+    }
+
+    /** Reads the changed keys that an entry names; the error says if a list is missing or does not verify. */
+    public Result<List<KeyChange>, StoreFailure> changes(ChainedEntry entry) {
+        List<KeyChange> changes = new ArrayList<>();
+        for (String hash : entry.changePieces()) {
+            Result<Optional<StoredObject>, StoreFailure> read = store.read(pieceKey(entry.id(), hash));
+            if (!read.isOk()) {
+                return Result.err(read.error());
+            }
+            if (read.value().isEmpty() || !Sha256.of(read.value().get().value()).equals(hash)) {
+                return Result.err(new StoreFailure("a list of changes of " + entry.id() + " does not verify"));
+            }
+            optional(Json.read(read.value().get().value(), ChangeList.class))
+                    .ifPresent(list -> changes.addAll(list.changes()));
+        }
+        return Result.ok(changes);
+    }
+
+    private boolean isKept(ObjectKey key, byte[] value) {
+        for (int i = 0; i < WRITE_TRIES; i++) {
+            WriteOutcome outcome = store.write(key, value, Precondition.absent());
+            if (outcome instanceof WriteOutcome.Written || outcome instanceof WriteOutcome.Conflict) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void deleteObject(ObjectKey key) {
+        Result<Optional<StoredObject>, StoreFailure> read = store.read(key);
+        if (read.isOk() && read.value().isPresent()) {
+            store.delete(key, read.value().get().version());
+        }
+    }
+
+    private static ObjectKey pieceKey(String id, String hash) {
+        return ObjectKey.of("audit-piece/" + id + "/" + hash);
+    }
+
+    private static <T> Optional<T> optional(Result<T, String> result) {
+        return result.isOk() ? Optional.of(result.value()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditTrail.java
@@ -0,0 +1,94 @@
+package org.mangoridge.config.audit;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangoridge.config.audit.AuditStore.Pointer;
+import org.mangoridge.core.Result;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.StoreFailure;
+
+/**
+ * A trail as it was read, with everything that does not verify.
+ *
+ * @param entries the entries from the oldest to the newest
+ * @param problems what is wrong with the chain, empty if it verifies
+ */
+public record AuditTrail(List<ChainedEntry> entries, List<String> problems) {
+
+    public AuditTrail {
+        entries = List.copyOf(entries);
+        problems = List.copyOf(problems);
+    }
+
+    /** Reads and verifies a trail other than that of accepted changes. */
+    public static Result<AuditTrail, StoreFailure> read(ObjectStore store, String trail) {
+        AuditStore audit = AuditStore.create(store);
+        return audit.pointer(AuditStore.tipKey(trail)).flatMap(tip -> read(audit, trail, tip));
+    }
+
+    /** Reads and verifies the trail of accepted changes, whose newest entry the configuration's head names. */
+    public static Result<AuditTrail, StoreFailure> readChanges(
+            ObjectStore store, String applyId, long generation, String entryHash) {
+        return read(AuditStore.create(store), AuditStore.CHANGES, new Pointer(applyId, generation, entryHash));
+    }
+
+    private static Result<AuditTrail, StoreFailure> read(AuditStore store, String trail, Pointer tip) {
+        return store.pointer(AuditStore.anchorKey(trail))
+                .flatMap(anchor -> store.entries(trail).map(entries -> {
+                    String newest = trail.equals(AuditStore.CHANGES) ? tip.id() : newestId(entries);
+                    List<ChainedEntry> chain = chain(entries, newest);
+                    return new AuditTrail(chain, problems(chain, tip, anchor));
+                }));
+    }
+
+    /** Returns the entries that lead to the one named {@code newest}, the oldest first. */
+    static List<ChainedEntry> chain(List<ChainedEntry> entries, String newest) {
+        Map<String, ChainedEntry> byId = new HashMap<>();
+        entries.forEach(entry -> byId.put(entry.id(), entry));
+        List<ChainedEntry> chain = new ArrayList<>();
+        ChainedEntry entry = byId.remove(newest);
+        while (entry != null) {
+            chain.add(entry);
+            entry = byId.remove(entry.previousId());
+        }
+        Collections.reverse(chain);
+        return chain;
+    }
+
+    /** Returns what is wrong with a chain that should reach from after {@code anchor} through {@code tip}. */
+    static List<String> problems(List<ChainedEntry> chain, Pointer tip, Pointer anchor) {
+        List<String> problems = new ArrayList<>();
+        Optional<Pointer> before =
+                chain.isEmpty() || chain.get(0).number() <= anchor.number() ? Optional.empty() : Optional.of(anchor);
+        for (ChainedEntry entry : chain) {
+            before.filter(previous -> !follows(entry, previous))
+                    .ifPresent(previous -> problems.add("entry " + entry.number() + " (" + entry.id()
+                            + ") does not follow entry " + previous.number() + " unchanged"));
+            before = Optional.of(Pointer.at(entry));
+        }
+        boolean reached = tip.number() == 0 || chain.stream().map(Pointer::at).anyMatch(tip::equals);
+        if (!reached) {
+            problems.add("entry " + tip.number() + " (" + tip.id() + ") is missing or was changed");
+        }
+        return problems;
+    }
+
+    private static boolean follows(ChainedEntry entry, Pointer previous) {
+        return entry.number() == previous.number() + 1
+                && entry.previousId().equals(previous.id())
+                && entry.previousHash().equals(previous.hash());
+    }
+
+    private static String newestId(List<ChainedEntry> entries) {
+        return entries.stream()
+                .max(Comparator.comparingLong(ChainedEntry::number))
+                .map(ChainedEntry::id)
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/package-info.java
@@ -0,0 +1,2 @@
+/** The audit trail: chained entries in the platform's store. */
+package org.mangoridge.config.audit;
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/content/package-info.java
@@ -0,0 +1,2 @@
+/** Large values kept as hashed pieces. */
+package org.mangoridge.config.content;
--- a/mangoridge-config/src/main/java/org/mangoridge/config/package-info.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/package-info.java
@@ -1,2 +1,2 @@
-/** Publication and adoption of configuration through the platform. */
+/** The configuration as it is published, with the hash that covers all of it. */
 package org.mangoridge.config;
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -7,6 +7,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.mangoridge.config.ConfigRepository;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -18,6 +20,9 @@
 import org.mangoridge.engine.http.HttpModelEngine;
 import org.mangoridge.engine.plain.HttpPlainService;
 import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.auth.OperatorAuthenticator;
+import org.mangoridge.entry.config.AuditPages;
+import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.control.ControlLoop;
@@ -42,7 +47,7 @@
     private static final Duration TICK = Duration.ofMillis(20);
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
-    private static final int MAX_OPERATOR_BODY_BYTES = 1 << 20;
+    private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
 
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private final Owner owner;
@@ -120,13 +125,25 @@
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
-        OperatorEndpoint operators = new OperatorEndpoint(owner, this::config, metrics, accounts);
+        OperatorEndpoint operators = new OperatorEndpoint(
+                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random));
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
                 own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
     }
 
+    private ConfigEndpoint configEndpoint(
+            InstanceSettings settings, ObjectStore store, Clock clock, RandomGenerator random) {
+        AuditLog refusals = AuditLog.create(store, AuditLog.REFUSALS, random);
+        return ConfigEndpoint.create(
+                OperatorAuthenticator.of(settings.operators()),
+                Publisher.create(store, refusals, clock),
+                AuditPages.create(store),
+                () -> follower.published(),
+                settings.id().value());
+    }
+
     private ConfigInForce config() {
         ConfigFollower current = follower;
         return current == null ? ConfigInForce.none() : current.inForce();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.metrics.PrometheusText;
 import org.mangoridge.routing.accounting.CallerUse;
@@ -44,16 +45,26 @@
     private final Supplier<ConfigInForce> config;
     private final MetricRegistry metrics;
     private final AccountLedger accounts;
+    private final ConfigEndpoint configEndpoint;
 
-    OperatorEndpoint(Owner owner, Supplier<ConfigInForce> config, MetricRegistry metrics, AccountLedger accounts) {
+    OperatorEndpoint(
+            Owner owner,
+            Supplier<ConfigInForce> config,
+            MetricRegistry metrics,
+            AccountLedger accounts,
+            ConfigEndpoint configEndpoint) {
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
         this.accounts = accounts;
+        this.configEndpoint = configEndpoint;
     }
 
     @Override
     public WebReply handle(WebRequest web) {
+        if (ConfigEndpoint.serves(web.path())) {
+            return configEndpoint.handle(web);
+        }
         ConfigInForce inForce = config.get();
         return switch (web.method() + " " + web.path()) {
             case "GET /ready" ->
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigEndpoint.java
@@ -0,0 +1,124 @@
+package org.mangoridge.entry.config;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.mangoridge.config.ApplyId;
+import org.mangoridge.config.ApplyRequest;
+import org.mangoridge.config.PublishedConfig;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.core.Result;
+import org.mangoridge.entry.auth.OperatorAuthenticator;
+import org.mangoridge.http.Json;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.web.ErrorBody;
+import org.mangoridge.web.WebHandler;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+
+/** Answers operators who change or inspect the configuration and the audit trail; each must show a token. */
+public final class ConfigEndpoint implements WebHandler {
+
+    private final OperatorAuthenticator operators;
+    private final Publisher publisher;
+    private final AuditPages audit;
+    private final Supplier<PublishedConfig> known;
+    private final String instance;
+
+    private ConfigEndpoint(
+            OperatorAuthenticator operators,
+            Publisher publisher,
+            AuditPages audit,
+            Supplier<PublishedConfig> known,
+            String instance) {
+        this.operators = operators;
+        this.publisher = publisher;
+        this.audit = audit;
+        this.known = known;
+        this.instance = instance;
+    }
+
+    /**
+     * Returns an endpoint.
+     *
+     * @param known the configuration that this instance has in force
+     * @param instance this instance's name, which the audit trail states
+     */
+    public static ConfigEndpoint create(
+            OperatorAuthenticator operators,
+            Publisher publisher,
+            AuditPages audit,
+            Supplier<PublishedConfig> known,
+            String instance) {
+        return new ConfigEndpoint(operators, publisher, audit, known, instance);
+    }
+
+    /** Tells whether {@code path} is answered here. */
+    public static boolean serves(String path) {
+        return path.startsWith("/config/") || path.equals("/audit");
+    }
+
+    @Override
+    public WebReply handle(WebRequest request) {
+        Optional<String> operator = operators.authenticate(request.headers());
+        if (operator.isEmpty()) {
+            return WebReply.json(401, ErrorBody.of("unauthenticated", "show an operator's token, OPERATOR.SECRET"));
+        }
+        return switch (request.method() + " " + request.path()) {
+            case "POST /config/apply" -> apply(request, operator.get());
+            case "POST /config/diff" -> diff(request);
+            case "POST /config/ask" -> ask(request);
+            case "GET /audit" -> audit.page(request, known.get().manifest());
+            default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
+        };
+    }
+
+    private WebReply apply(WebRequest request, String operator) {
+        Result<ConfigMessages.Apply, String> body = Json.read(request.body(), ConfigMessages.Apply.class);
+        if (!body.isOk()) {
+            return malformed(body.error());
+        }
+        return switch (applyId(body.value().id())) {
+            case Result.Err<ApplyId, String> err -> malformed(err.error());
+            case Result.Ok<ApplyId, String> ok -> {
+                ApplyRequest apply = new ApplyRequest(
+                        ok.value(),
+                        operator,
+                        body.value().from() + " through " + instance,
+                        Optional.ofNullable(body.value().base()),
+                        body.value().sections());
+                yield WebReply.json(200, publisher.apply(apply, known.get()));
+            }
+        };
+    }
+
+    private WebReply diff(WebRequest request) {
+        Result<ConfigMessages.Apply, String> body = Json.read(request.body(), ConfigMessages.Apply.class);
+        if (!body.isOk()) {
+            return malformed(body.error());
+        }
+        return switch (publisher.diff(body.value().sections(), known.get())) {
+            case Result.Ok<Publisher.Difference, StoreFailure> ok -> WebReply.json(200, ok.value());
+            case Result.Err<Publisher.Difference, StoreFailure> err ->
+                WebReply.json(503, ErrorBody.of("platform", err.error().detail()));
+        };
+    }
+
+    private WebReply ask(WebRequest request) {
+        Result<ApplyId, String> id =
+                Json.read(request.body(), ConfigMessages.Ask.class).flatMap(ask -> applyId(ask.id()));
+        return id.isOk() ? WebReply.json(200, publisher.ask(id.value())) : malformed(id.error());
+    }
+
+    private static Result<ApplyId, String> applyId(String text) {
+        try {
+            return Result.ok(ApplyId.of(text));
+        } catch (IllegalArgumentException e) {
+            return Result.err(e.getMessage());
+        }
+    }
+
+    private static WebReply malformed(String detail) {
+        return WebReply.json(400, ErrorBody.of("malformed", detail));
+    }
+}
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigFollower.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigFollower.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +26,7 @@
     private final ConfigRepository repository;
     private final Consumer<ConfigInForce> listener;
     private final ScheduledExecutorService timer;
+    private volatile PublishedConfig published = PublishedConfig.initial();
     private volatile ConfigInForce inForce = ConfigInForce.none();
 
     private ConfigFollower(ConfigRepository repository, Consumer<ConfigInForce> listener) {
@@ -48,6 +48,11 @@
         return inForce;
     }
 
+    /** Returns the published form of the configuration adopted last. */
+    public PublishedConfig published() {
+        return published;
+    }
+
     @Override
     public void close() {
         timer.shutdownNow();
@@ -62,24 +67,28 @@
     }
 
     private void read() {
-        Result<Optional<PublishedConfig>, StoreFailure> read = repository.read();
+        Result<ConfigRepository.Head, StoreFailure> head = repository.readHead();
+        if (head.isOk()
+                && head.value().manifest().generation() <= published.manifest().generation()) {
+            return;
+        }
+        Result<PublishedConfig, StoreFailure> read = head.flatMap(newer -> repository.load(newer, published));
         if (!read.isOk()) {
             EventLog.write(
                     LogEvent.PLATFORM_UNAVAILABLE,
                     Field.of("detail", read.error().detail()));
             return;
         }
-        read.value()
-                .filter(config -> config.generation().isAfter(inForce.generation()))
-                .ifPresent(this::adopt);
+        adopt(read.value());
     }
 
     private void adopt(PublishedConfig config) {
         Result<Deployment, List<Problem>> parsed = DeploymentParser.parseText("published", config.text());
-        if (!config.verifies() || !parsed.isOk()) {
+        if (!parsed.isOk()) {
             EventLog.write(LogEvent.CONFIGURATION_REJECTED, Field.of("generation", config.generation()));
             return;
         }
+        published = config;
         inForce = new ConfigInForce(config.generation(), config.hash(), parsed.value());
         listener.accept(inForce);
         EventLog.write(LogEvent.CONFIGURATION_ADOPTED, Field.of("generation", config.generation()));
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/InstanceTable.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/InstanceTable.java
@@ -9,21 +9,37 @@
 public final class InstanceTable {
 
     private final List<PlatformMessages.InstanceMessage> instances = new ArrayList<>();
+    private List<PlatformMessages.InstanceMessage> shown = List.of();
+    private boolean held;
 
     InstanceTable() {}
 
     /** Adds an instance, or replaces the one with the same id. */
     public synchronized void put(PlatformMessages.InstanceMessage instance) {
-        remove(instance.id());
+        instances.removeIf(existing -> existing.id().equals(instance.id()));
         instances.add(instance);
+        show();
     }
 
     /** Removes the instance named {@code id}, if there is one. */
     public synchronized void remove(String id) {
         instances.removeIf(existing -> existing.id().equals(id));
+        show();
+    }
+
+    /** Makes the list lag: while held, answers show it as it was. */
+    public synchronized void hold(boolean on) {
+        held = on;
+        show();
     }
 
     synchronized List<PlatformMessages.InstanceMessage> list() {
-        return List.copyOf(instances);
+        return shown;
+    }
+
+    private void show() {
+        if (!held) {
+            shown = List.copyOf(instances);
+        }
     }
 }
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/ObjectTable.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/ObjectTable.java
@@ -15,6 +15,14 @@
 /** Objects with versions and a bounded history of changes; safe for use by several threads. */
 final class ObjectTable {
 
+    /**
+     * All objects at one time.
+     *
+     * @param objects the objects by key
+     * @param revision the revision reached
+     */
+    record Copy(TreeMap<String, PlatformMessages.ObjectMessage> objects, long revision) {}
+
     private static final int MAX_HISTORY = 10_000;
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -33,6 +41,43 @@
         }
     }
 
+    /** Returns the object as it was before its last write that the history still holds; absent if there is none. */
+    Optional<PlatformMessages.ObjectMessage> readPrevious(String key) {
+        lock.lock();
+        try {
+            long current = versionOf(key);
+            return history.stream()
+                    .filter(change -> change.key().equals(key) && change.version() < current && change.value() != null)
+                    .reduce((earlier, later) -> later);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    Copy copy() {
+        lock.lock();
+        try {
+            return new Copy(new TreeMap<>(objects), revision);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Goes back to {@code copy}; watches that started from a later revision are told that changes are missing. */
+    void restore(Copy copy) {
+        lock.lock();
+        try {
+            objects.clear();
+            objects.putAll(copy.objects());
+            history.clear();
+            revision = copy.revision();
+            forgotten = revision;
+            changed.signalAll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Writes if the object has the expected version, 0 for absent; returns the new version. */
     Optional<Long> write(String key, byte[] value, long expected) {
         lock.lock();
@@ -88,11 +133,11 @@
         try {
             long remaining = wait.toNanos();
             List<PlatformMessages.ObjectMessage> changes = changesAfter(prefix, after);
-            while (changes.isEmpty() && remaining > 0) {
+            while (changes.isEmpty() && isKnown(after) && remaining > 0) {
                 remaining = changed.awaitNanos(remaining);
                 changes = changesAfter(prefix, after);
             }
-            return new PlatformMessages.Changes(revision, after >= forgotten, changes);
+            return new PlatformMessages.Changes(revision, isKnown(after), changes);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return new PlatformMessages.Changes(after, true, List.of());
@@ -106,6 +151,10 @@
         return object == null ? 0 : object.version();
     }
 
+    private boolean isKnown(long after) {
+        return after >= forgotten && after <= revision;
+    }
+
     private void remember(PlatformMessages.ObjectMessage change) {
         history.addLast(change);
         if (history.size() > MAX_HISTORY) {
