--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -29,7 +29,9 @@
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.model.RoutingDriver;
+import org.mangoridge.entry.orders.OrderAudit;
 import org.mangoridge.entry.orders.OrderLoop;
+import org.mangoridge.entry.orders.TrailOrderAudit;
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
@@ -123,7 +125,9 @@
                 ConfigRepository.create(store),
                 config -> driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()))));
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
-        own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
+        OrderAudit orderAudit =
+                TrailOrderAudit.create(AuditLog.create(store, TrailOrderAudit.TRAIL, random), owner, clock);
+        own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, orderAudit))
                 .start(() -> config().deployment(), service -> true);
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/TrailOrderAudit.java
@@ -0,0 +1,55 @@
+package org.mangoridge.entry.orders;
+
+import org.mangoridge.config.audit.AuditEntry;
+import org.mangoridge.config.audit.AuditKind;
+import org.mangoridge.config.audit.AuditLog;
+import org.mangoridge.config.audit.ChainedEntry;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.orders.plan.EngineOrder;
+import org.mangoridge.orders.plan.OrderOutcome;
+import org.mangoridge.platform.StoreFailure;
+
+/** Records orders in an audit trail of the platform's store. */
+public final class TrailOrderAudit implements OrderAudit {
+
+    /** The name of the trail. */
+    public static final String TRAIL = "orders";
+
+    private final AuditLog trail;
+    private final Owner owner;
+    private final Clock clock;
+
+    private TrailOrderAudit(AuditLog trail, Owner owner, Clock clock) {
+        this.trail = trail;
+        this.owner = owner;
+        this.clock = clock;
+    }
+
+    /** Returns an audit of the orders that {@code owner} gives. */
+    public static TrailOrderAudit create(AuditLog trail, Owner owner, Clock clock) {
+        return new TrailOrderAudit(trail, owner, clock);
+    }
+
+    @Override
+    public void record(EngineOrder order, OrderOutcome outcome) {
+        AuditEntry entry = AuditEntry.of(
+                AuditKind.ENGINE_ORDER,
+                owner.toString(),
+                clock.now(),
+                owner.instance().value(),
+                order.toString(),
+                outcome.toString());
+        Result<ChainedEntry, StoreFailure> appended = trail.append(entry);
+        if (!appended.isOk()) {
+            EventLog.write(
+                    LogEvent.AUDIT_INCOMPLETE,
+                    Field.of("order", order.id()),
+                    Field.of("detail", appended.error().detail()));
+        }
+    }
+}
