--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -10,6 +10,7 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.mangoridge.cli.command.BenchCommand;
 import org.mangoridge.cli.command.CallCommand;
 import org.mangoridge.cli.command.CheckCommand;
 import org.mangoridge.cli.command.Command;
@@ -47,6 +48,7 @@
                 new CallCommand(),
                 new KeyCommand(),
                 new DemoCommand(),
+                new BenchCommand(),
                 new StandInCommand(),
                 new VersionCommand()));
     }
