--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
@@ -14,7 +14,9 @@
 import org.mangoridge.bench.load.TrafficClass;
 import org.mangoridge.bench.scenario.FaultStep;
 import org.mangoridge.bench.scenario.Fleet;
-import org.mangoridge.config.ConfigRepository;
+import org.mangoridge.config.ApplyId;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
@@ -25,6 +27,7 @@
 import org.mangoridge.http.HttpCall;
 import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.PolicyName;
 import org.mangoridge.routing.RoutingPolicies;
@@ -65,8 +68,9 @@
         try {
             HostPort platform = system.own(PlatformStandIn.start(ANY_PORT)).address();
             String config = system.startServers(clock);
-            ConfigRepository.create(HttpObjectStore.create(system.transport, platform, TIMEOUT))
-                    .publish(config);
+            ObjectStore store = HttpObjectStore.create(system.transport, platform, TIMEOUT);
+            Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new Random(seed)), clock)
+                    .applyText(ApplyId.of("bench"), "bench", config);
             system.startInstances(platform, policy, clock, seed);
             system.awaitReady();
             return system;
--- a/mangoridge-config/src/main/java/org/mangoridge/config/ConfigDiff.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/ConfigDiff.java
@@ -13,7 +13,7 @@
 /** Compares merged sections key by key. */
 public final class ConfigDiff {
 
-    private static final List<String> SECRET_WORDS = List.of("hash", "secret", "token", "password");
+    private static final List<String> SECRET_WORDS = List.of("hash", "secret", "password");
 
     private ConfigDiff() {}
 
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -12,8 +13,11 @@
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.Incarnation;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.engine.EngineDirectory;
@@ -32,9 +36,16 @@
 import org.mangoridge.entry.orders.OrderAudit;
 import org.mangoridge.entry.orders.OrderLoop;
 import org.mangoridge.entry.orders.TrailOrderAudit;
+import org.mangoridge.entry.peers.InFlightCounter;
+import org.mangoridge.entry.peers.OrphanSweeper;
+import org.mangoridge.entry.peers.PeerEvents;
+import org.mangoridge.entry.peers.PeerNode;
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.peer.membership.Member;
+import org.mangoridge.peer.membership.Rendezvous;
+import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.RoutingEvent;
@@ -48,6 +59,8 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration SWEEP_TICK = Duration.ofMillis(250);
+    private static final int LEASE_CANDIDATES = 2;
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
     private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
@@ -55,6 +68,7 @@
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private final Owner owner;
     private volatile ConfigFollower follower;
+    private PeerNode peers;
     private WebServer callerServer;
     private WebServer operatorServer;
 
@@ -84,6 +98,7 @@
                 LogEvent.INSTANCE_STARTED,
                 Field.of("instance", owner),
                 Field.of("zone", settings.zone()),
+                Field.of("peers", instance.peerAddress()),
                 Field.of("callers", instance.callerAddress()),
                 Field.of("operators", instance.operatorAddress()));
         return instance;
@@ -94,6 +109,11 @@
         return callerServer.address();
     }
 
+    /** Returns the address that other instances connect to. */
+    public HostPort peerAddress() {
+        return peers.address();
+    }
+
     /** Returns the address that operators connect to. */
     public HostPort operatorAddress() {
         return operatorServer.address();
@@ -117,23 +137,39 @@
         HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
         MetricRegistry metrics = new MetricRegistry();
         AccountLedger accounts = AccountLedger.create(control, metrics);
-        RoutingDriver driver = RoutingDriver.create(control, clock, policy);
+        InFlightCounter counter = InFlightCounter.around(policy);
+        RoutingDriver driver = RoutingDriver.create(control, clock, counter);
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
         ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
-        follower = own(ConfigFollower.start(
-                ConfigRepository.create(store),
-                config -> driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()))));
+        OrphanSweeper sweeper =
+                own(OrphanSweeper.create(control, clock, engines, () -> config().deployment(), () -> peers.view()));
+        peers = own(PeerNode.start(
+                settings,
+                owner,
+                control,
+                clock,
+                random,
+                this::configNewerThan,
+                counter,
+                new PeerEvents(driver, sweeper)));
+        control.post(() -> sweeper.gone(formerRuns()));
+        control.every(SWEEP_TICK, sweeper::tick);
+        peers.followList(store);
+        follower = own(ConfigFollower.start(ConfigRepository.create(store), config -> {
+            driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
+            peers.adopted(config.generation());
+        }));
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         OrderAudit orderAudit =
                 TrailOrderAudit.create(AuditLog.create(store, TrailOrderAudit.TRAIL, random), owner, clock);
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, orderAudit))
-                .start(() -> config().deployment(), service -> true);
+                .start(() -> config().deployment(), this::isLeaseCandidate);
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random));
+                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random), peers::view);
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
@@ -151,6 +187,25 @@
                 settings.id().value());
     }
 
+    /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
+    private Owner formerRuns() {
+        long last = Math.max(0, owner.incarnation().value() - 1);
+        return new Owner(owner.instance(), Incarnation.of(last));
+    }
+
+    private PeerConfig configNewerThan(Generation known) {
+        return PeerConfig.nothingNewer(config().generation());
+    }
+
+    /** Tells whether this instance is among the few of its zone that watch the lease of {@code service}. */
+    private boolean isLeaseCandidate(ServiceId service) {
+        List<InstanceId> zone =
+                peers.view().liveInZone().stream().map(Member::id).toList();
+        return Rendezvous.rank("lease/" + service, zone).stream()
+                .limit(LEASE_CANDIDATES)
+                .anyMatch(owner.instance()::equals);
+    }
+
     private ConfigInForce config() {
         ConfigFollower current = follower;
         return current == null ? ConfigInForce.none() : current.inForce();
