Give up stages that make no progress, and release at once what callers leave behind

Cause: the stages of an attempt waited up to 30 s for an engine that had stalled; the cancel of a failed attempt was sent once, in the way of the next attempt and over the same connection; a caller that went during prefill was noticed only with the first token, so that its slot waited for the engine's expiry. A request refused after an earlier attempt ran could be called not-run.

Change: placements carry limits for each stage, derived from the forecast; CancelSender repeats cancels on new connections until acknowledged, bounded, beside the request; a caller that goes ends queueing and every stage; the verdict is the worst of all attempts. A transfer without end is its own kind of failure.

Calls of ModelEngine in EngineStandInTest got their new limit.

--- a/mangoridge-engine/src/main/java/org/mangoridge/engine/ModelEngine.java
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/ModelEngine.java
@@ -1,5 +1,6 @@
 package org.mangoridge.engine;
 
+import java.time.Duration;
 import java.util.List;
 
 import org.mangoridge.core.Result;
@@ -13,14 +14,14 @@
  */
 public interface ModelEngine {
 
-    /** Holds a decode slot and memory for an attempt. */
-    Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request);
+    /** Holds a decode slot and memory for an attempt; gives up after {@code limit}. */
+    Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request, Duration limit);
 
-    /** Computes KV cache and returns when it is done. */
-    Result<EngineMessages.PrefillDone, EngineError> prefill(EngineMessages.PrefillRequest request);
+    /** Computes KV cache and returns when it is done; gives up after {@code limit}. */
+    Result<EngineMessages.PrefillDone, EngineError> prefill(EngineMessages.PrefillRequest request, Duration limit);
 
-    /** Fetches KV cache from another engine and returns when it is here. */
-    Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request);
+    /** Fetches KV cache from another engine and returns when it is here; gives up after {@code limit}. */
+    Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request, Duration limit);
 
     /** Starts generating tokens; the caller closes the stream. */
     Result<TokenStream, EngineError> decode(EngineMessages.DecodeRequest request);
@@ -28,6 +29,9 @@
     /** Releases everything held for {@code attempt}; idempotent. */
     Result<EngineMessages.Released, EngineError> cancel(AttemptId attempt);
 
+    /** Releases everything held for {@code attempt}, over a connection opened for this call; idempotent. */
+    Result<EngineMessages.Released, EngineError> cancelOnNewConnection(AttemptId attempt);
+
     /** Lists what the engine holds for requests of {@code instance}. */
     Result<List<EngineMessages.Held>, EngineError> held(InstanceId instance);
 
--- a/mangoridge-engine/src/main/java/org/mangoridge/engine/http/HttpModelEngine.java
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/http/HttpModelEngine.java
@@ -23,7 +23,8 @@
 public final class HttpModelEngine implements ModelEngine {
 
     private static final Duration SHORT_CALL = Duration.ofSeconds(2);
-    private static final Duration WORK_CALL = Duration.ofSeconds(30);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration STREAM_HEAD = Duration.ofSeconds(2);
     private static final Duration ORDER_CALL = Duration.ofSeconds(60);
     private static final int OK = 200;
     private static final int GONE = 410;
@@ -45,23 +46,24 @@
     }
 
     @Override
-    public Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request) {
-        return post("/v1/reservations", request, SHORT_CALL, EngineMessages.Reserved.class);
+    public Result<EngineMessages.Reserved, EngineError> reserve(EngineMessages.ReserveRequest request, Duration limit) {
+        return post("/v1/reservations", request, limit, EngineMessages.Reserved.class);
     }
 
     @Override
-    public Result<EngineMessages.PrefillDone, EngineError> prefill(EngineMessages.PrefillRequest request) {
-        return post("/v1/prefills", request, WORK_CALL, EngineMessages.PrefillDone.class);
+    public Result<EngineMessages.PrefillDone, EngineError> prefill(
+            EngineMessages.PrefillRequest request, Duration limit) {
+        return post("/v1/prefills", request, limit, EngineMessages.PrefillDone.class);
     }
 
     @Override
-    public Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request) {
-        return post("/v1/imports", request, WORK_CALL, EngineMessages.Imported.class);
+    public Result<EngineMessages.Imported, EngineError> importKv(EngineMessages.ImportRequest request, Duration limit) {
+        return post("/v1/imports", request, limit, EngineMessages.Imported.class);
     }
 
     @Override
     public Result<TokenStream, EngineError> decode(EngineMessages.DecodeRequest request) {
-        HttpCall call = HttpCall.postJson(address.httpUri("/v1/decodes"), request, WORK_CALL);
+        HttpCall call = HttpCall.postJson(address.httpUri("/v1/decodes"), request, STREAM_HEAD);
         return switch (transport.open(call)) {
             case Result.Err<HttpLines, HttpFailure> err -> Result.err(lost(err.error()));
             case Result.Ok<HttpLines, HttpFailure> ok
@@ -73,8 +75,19 @@
 
     @Override
     public Result<EngineMessages.Released, EngineError> cancel(AttemptId attempt) {
+        return cancel(attempt, transport);
+    }
+
+    @Override
+    public Result<EngineMessages.Released, EngineError> cancelOnNewConnection(AttemptId attempt) {
+        try (HttpTransport fresh = HttpTransport.create(CONNECT_TIMEOUT)) {
+            return cancel(attempt, fresh);
+        }
+    }
+
+    private Result<EngineMessages.Released, EngineError> cancel(AttemptId attempt, HttpTransport over) {
         HttpCall call = HttpCall.delete(address.httpUri("/v1/attempts/" + attempt), SHORT_CALL);
-        return decodeAnswer(transport.send(call), EngineMessages.Released.class);
+        return decodeAnswer(over.send(call), EngineMessages.Released.class);
     }
 
     @Override
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -26,6 +26,7 @@
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.entry.model.CancelSender;
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.model.RoutingDriver;
@@ -125,7 +126,8 @@
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
                 .start(() -> config().deployment(), service -> true);
-        ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
+        CancelSender cancels = own(CancelSender.create(engines));
+        ModelRequestHandler models = ModelRequestHandler.create(driver, engines, cancels, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptContext.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptContext.java
@@ -13,13 +13,19 @@
  * What the attempts at one request share.
  *
  * @param engines gives engines by address
+ * @param cancels releases what attempts hold
  * @param owner the run of the instance that answers the request
  * @param deployment the configuration that the request sees
  * @param service the service asked for
  * @param request the request
  */
 record AttemptContext(
-        EngineDirectory engines, Owner owner, Deployment deployment, Service service, ModelRequest request) {
+        EngineDirectory engines,
+        CancelSender cancels,
+        Owner owner,
+        Deployment deployment,
+        Service service,
+        ModelRequest request) {
 
     /** Returns the engine of a server that a placement names. */
     ModelEngine engine(ServerId id) {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
@@ -1,5 +1,8 @@
 package org.mangoridge.entry.model;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
 import org.mangoridge.core.Result;
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
@@ -9,10 +12,12 @@
 import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.engine.EngineError;
 import org.mangoridge.engine.EngineMessages;
+import org.mangoridge.engine.ModelEngine;
 import org.mangoridge.engine.TokenStream;
 import org.mangoridge.routing.AttemptOutcome;
 import org.mangoridge.routing.Placement;
 import org.mangoridge.routing.RoutingEvent;
+import org.mangoridge.routing.StageLimits;
 
 /** The stages of one attempt up to its token stream: reserve, prefill, import, decode. */
 final class AttemptStages {
@@ -23,6 +28,8 @@
     private final RoutingDriver driver;
     private final AttemptId attempt;
     private final Placement placement;
+    private final Set<ServerId> touched = ConcurrentHashMap.newKeySet();
+    private volatile ServerId lost;
 
     AttemptStages(AttemptContext context, RoutingDriver driver, AttemptId attempt, Placement placement) {
         this.context = context;
@@ -53,11 +60,15 @@
                 .flatMap(imported -> decode(generated, outputTokens));
     }
 
-    /** Releases whatever the attempt holds at its servers; idempotent. */
+    /** Returns how long the stages may take. */
+    StageLimits limits() {
+        return placement.limits();
+    }
+
+    /** Has whatever the attempt holds at its servers released and does not wait for it; idempotent. */
     void release() {
-        release(placement.decode());
-        if (placement.transfers()) {
-            release(placement.prefill());
+        for (ServerId server : touched) {
+            context.cancels().cancel(context.server(server).address(), attempt, server.equals(lost));
         }
     }
 
@@ -74,7 +85,7 @@
                 context.request().promptTokens() + context.request().maxTokens(),
                 RESERVATION_TTL_MILLIS,
                 placement.priority());
-        return check(placement.decode(), context.engine(placement.decode()).reserve(message), outputTokens);
+        return check(placement.decode(), engine(placement.decode()).reserve(message, limits().reserve()), outputTokens);
     }
 
     private Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> prefill(String generated, int outputTokens) {
@@ -86,8 +97,8 @@
                 context.service().version(),
                 context.request().prompt() + generated,
                 placement.priority());
-        Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> result =
-                check(placement.prefill(), context.engine(placement.prefill()).prefill(message), outputTokens);
+        Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> result = check(
+                placement.prefill(), engine(placement.prefill()).prefill(message, limits().prefill()), outputTokens);
         if (result.isOk()) {
             EngineMessages.PrefillDone done = result.value();
             driver.tell(new RoutingEvent.PrefillDone(attempt, done.promptTokens(), done.cachedTokens()));
@@ -100,7 +111,11 @@
         String source = context.server(placement.prefill()).address().toString();
         EngineMessages.ImportRequest message =
                 new EngineMessages.ImportRequest(attempt.toString(), prefilled.handle(), source);
-        return check(placement.decode(), context.engine(placement.decode()).importKv(message), outputTokens);
+        return switch (engine(placement.decode()).importKv(message, limits().transfer())) {
+            case Result.Ok<EngineMessages.Imported, EngineError> ok -> Result.ok(ok.value());
+            case Result.Err<EngineMessages.Imported, EngineError> err ->
+                Result.err(importFailed(err.error(), outputTokens));
+        };
     }
 
     private Result<TokenStream, AttemptOutcome.Failed> decode(String generated, int outputTokens) {
@@ -115,7 +130,7 @@
                 outputTokens,
                 context.request().maxTokens(),
                 placement.priority());
-        return check(placement.decode(), context.engine(placement.decode()).decode(message), outputTokens);
+        return check(placement.decode(), engine(placement.decode()).decode(message), outputTokens);
     }
 
     private <T> Result<T, AttemptOutcome.Failed> check(
@@ -126,19 +141,27 @@
         };
     }
 
-    private void release(ServerId server) {
-        Result<EngineMessages.Released, EngineError> released =
-                context.engine(server).cancel(attempt);
-        if (!released.isOk()) {
-            EventLog.write(
-                    LogEvent.CANCEL_UNACKNOWLEDGED,
-                    Field.of("attempt", attempt),
-                    Field.of("server", server),
-                    Field.of("detail", released.error().detail()));
-        }
+    /** An import that brings no answer in time is stalled; one that found no source is the source's fault. */
+    private AttemptOutcome.Failed importFailed(EngineError error, int outputTokens) {
+        AttemptOutcome.Failed failed = failed(placement.decode(), error, outputTokens);
+        return switch (error) {
+            case EngineError.Lost gone
+            when failed.kind() == AttemptOutcome.FailureKind.BROKEN ->
+                failed.as(placement.decode(), AttemptOutcome.FailureKind.STALLED);
+            case EngineError.Failed source -> failed.as(placement.prefill(), AttemptOutcome.FailureKind.ERROR);
+            default -> failed;
+        };
+    }
+
+    private ModelEngine engine(ServerId server) {
+        touched.add(server);
+        return context.engine(server);
     }
 
     private AttemptOutcome.Failed failed(ServerId server, EngineError error, int outputTokens) {
+        if (error instanceof EngineError.Lost) {
+            lost = server;
+        }
         EventLog.write(
                 LogEvent.ATTEMPT_FAILED,
                 Field.of("attempt", attempt),
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/Generation.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/Generation.java
@@ -7,6 +7,7 @@
 import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.engine.EngineError;
 import org.mangoridge.engine.TokenStream;
 import org.mangoridge.routing.AttemptOutcome;
@@ -19,9 +20,6 @@
  */
 final class Generation {
 
-    private static final Duration FIRST_TOKEN_SILENCE = Duration.ofSeconds(10);
-    private static final Duration TOKEN_SILENCE = Duration.ofSeconds(2);
-
     /** What comes next. */
     sealed interface Step {}
 
@@ -46,11 +44,16 @@
      */
     record GivenUp(Refusal refusal) implements Step {}
 
+    /** The caller has gone; what the request held is released. */
+    record CallerLeft() implements Step {}
+
     private final AttemptContext context;
     private final RoutingDriver driver;
     private final BiFunction<AttemptId, AttemptOutcome.Failed, Result<RoutingDriver.Start, Refusal>> afterFailure;
     private final StringBuilder generated = new StringBuilder();
-    private AttemptStages stages;
+    private volatile AttemptStages stages;
+    private volatile boolean callerGone;
+    private Verdict verdict = Verdict.NOT_RUN;
     private TokenStream stream;
     private int outputTokens;
 
@@ -83,12 +86,21 @@
     /** Waits for the next step; nothing follows a whole answer or a refusal. */
     Step next() {
         while (true) {
+            if (callerGone) {
+                abandon();
+                return new CallerLeft();
+            }
             Result<Step, AttemptOutcome.Failed> step = attemptStep();
             if (step.isOk()) {
                 return step.value();
             }
+            if (callerGone) {
+                continue;
+            }
             end();
-            Result<RoutingDriver.Start, Refusal> decision = afterFailure.apply(stages.attempt(), step.error());
+            AttemptOutcome.Failed failed = step.error().atLeast(verdict);
+            verdict = failed.verdict();
+            Result<RoutingDriver.Start, Refusal> decision = afterFailure.apply(stages.attempt(), failed);
             if (!decision.isOk()) {
                 return new GivenUp(decision.error());
             }
@@ -96,6 +108,12 @@
         }
     }
 
+    /** Notes that the caller has gone and has the work in progress released; any thread may call it. */
+    void callerGone() {
+        callerGone = true;
+        stages.release();
+    }
+
     /** Ends the generation because the caller has gone, and releases what it holds. */
     void abandon() {
         end();
@@ -115,14 +133,15 @@
     }
 
     private Result<Step, AttemptOutcome.Failed> attemptStep() {
-        Duration silence = TOKEN_SILENCE;
+        Duration silence = stages.limits().token();
         if (stream == null) {
             Result<TokenStream, AttemptOutcome.Failed> opened = stages.open(text(), outputTokens);
             if (!opened.isOk()) {
                 return Result.err(opened.error());
             }
             stream = opened.value();
-            silence = FIRST_TOKEN_SILENCE;
+            verdict = Verdict.RAN;
+            silence = stages.limits().firstToken();
         }
         return read(silence);
     }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -30,6 +30,7 @@
 import org.mangoridge.settings.deployment.Deployment;
 import org.mangoridge.settings.deployment.Service;
 import org.mangoridge.settings.deployment.ServiceKind;
+import org.mangoridge.web.Disconnect;
 import org.mangoridge.web.StreamSink;
 import org.mangoridge.web.WebReply;
 import org.mangoridge.web.WebRequest;
@@ -37,16 +38,25 @@
 /** Answers model requests; called on the request's own thread. */
 public final class ModelRequestHandler {
 
+    private static final Refusal CALLER_GONE = Refusal.notRun(RefusalReason.DEADLINE, "the caller has gone");
+
     private final RoutingDriver driver;
     private final EngineDirectory engines;
+    private final CancelSender cancels;
     private final Owner owner;
     private final Clock clock;
     private final AccountLedger accounts;
 
     private ModelRequestHandler(
-            RoutingDriver driver, EngineDirectory engines, Owner owner, Clock clock, AccountLedger accounts) {
+            RoutingDriver driver,
+            EngineDirectory engines,
+            CancelSender cancels,
+            Owner owner,
+            Clock clock,
+            AccountLedger accounts) {
         this.driver = driver;
         this.engines = engines;
+        this.cancels = cancels;
         this.owner = owner;
         this.clock = clock;
         this.accounts = accounts;
@@ -54,8 +64,13 @@
 
     /** Returns a handler of the requests of {@code owner}. */
     public static ModelRequestHandler create(
-            RoutingDriver driver, EngineDirectory engines, Owner owner, Clock clock, AccountLedger accounts) {
-        return new ModelRequestHandler(driver, engines, owner, clock, accounts);
+            RoutingDriver driver,
+            EngineDirectory engines,
+            CancelSender cancels,
+            Owner owner,
+            Clock clock,
+            AccountLedger accounts) {
+        return new ModelRequestHandler(driver, engines, cancels, owner, clock, accounts);
     }
 
     /** Answers one request of {@code caller} under one configuration. */
@@ -77,8 +92,13 @@
                             RefusalReason.UNKNOWN_SERVICE, "there is no model service named " + request.service()));
         }
         RequestFacts facts = facts(id, caller, deployment, service, request);
-        Result<RoutingDriver.Start, Refusal> first = await(facts, driver.arrived(facts));
+        Result<RoutingDriver.Start, Refusal> first = await(facts, web.disconnect(), driver.arrived(facts));
         return switch (first) {
+            case Result.Err<RoutingDriver.Start, Refusal> err
+            when web.disconnect().isGone() -> {
+                accounts.abandoned(caller.id(), 0);
+                yield new WebReply.Dropped();
+            }
             case Result.Err<RoutingDriver.Start, Refusal> err -> refuse(id, caller, err.error());
             case Result.Ok<RoutingDriver.Start, Refusal> ok ->
                 new Exchange(facts, request, deployment, service, web).answer(ok.value());
@@ -101,8 +121,14 @@
                 now.plus(service.timeout()));
     }
 
+    /** Waits for a decision; a caller that goes meanwhile ends the wait and is forgotten by routing. */
     private Result<RoutingDriver.Start, Refusal> await(
-            RequestFacts facts, Future<Result<RoutingDriver.Start, Refusal>> decision) {
+            RequestFacts facts, Disconnect caller, CompletableFuture<Result<RoutingDriver.Start, Refusal>> decision) {
+        caller.onGone(() -> {
+            if (decision.complete(Result.err(CALLER_GONE))) {
+                driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
+            }
+        });
         Duration remaining = facts.deadline().minus(clock.elapsed());
         try {
             return decision.get(Math.max(1, remaining.toMillis()), TimeUnit.MILLISECONDS);
@@ -143,7 +169,7 @@
             this.facts = facts;
             this.request = request;
             this.web = web;
-            this.context = new AttemptContext(engines, owner, deployment, service, request);
+            this.context = new AttemptContext(engines, cancels, owner, deployment, service, request);
             this.format = new AnswerFormat(
                     facts.id(), service.id(), request.chat(), clock.now().getEpochSecond());
         }
@@ -151,7 +177,11 @@
         /** Waits for the first token before the status is chosen, so that a refusal has its own. */
         private WebReply answer(RoutingDriver.Start start) {
             Generation generation = new Generation(
-                    context, driver, start, (attempt, failed) -> await(facts, driver.failed(attempt, failed)));
+                    context,
+                    driver,
+                    start,
+                    (attempt, failed) -> await(facts, web.disconnect(), driver.failed(attempt, failed)));
+            web.disconnect().onGone(generation::callerGone);
             Generation.Step step = generation.next();
             if (step instanceof Generation.Token token && request.stream()) {
                 return WebReply.events(Replies.served(facts.id()), sink -> stream(generation, token, sink));
@@ -165,6 +195,10 @@
                     yield new WebReply.Dropped();
                 }
                 case Generation.Whole whole -> whole(generation, whole.finish());
+                case Generation.CallerLeft left -> {
+                    left(generation);
+                    yield new WebReply.Dropped();
+                }
                 case Generation.GivenUp givenUp -> refuse(facts.id(), facts.caller(), givenUp.refusal());
             };
         }
@@ -187,6 +221,11 @@
                 }
                 step = generation.next();
             }
+            if (step instanceof Generation.CallerLeft) {
+                left(generation);
+                sink.abort();
+                return;
+            }
             if (step instanceof Generation.GivenUp givenUp) {
                 accounts.refused(facts.caller().id());
                 Refusal cut = Refusal.of(
@@ -207,6 +246,10 @@
 
         private void gone(Generation generation) {
             generation.abandon();
+            left(generation);
+        }
+
+        private void left(Generation generation) {
             accounts.abandoned(facts.caller().id(), generation.outputTokens());
             EventLog.write(LogEvent.CALLER_GONE, Field.of("request", facts.id()));
         }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptOutcome.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptOutcome.java
@@ -28,7 +28,18 @@
      * @param verdict whether the work may have run
      * @param outputTokens the tokens that the caller has been sent
      */
-    record Failed(ServerId server, FailureKind kind, Verdict verdict, int outputTokens) implements AttemptOutcome {}
+    record Failed(ServerId server, FailureKind kind, Verdict verdict, int outputTokens) implements AttemptOutcome {
+
+        /** Returns the same failure as one of another server and kind. */
+        public Failed as(ServerId otherServer, FailureKind otherKind) {
+            return new Failed(otherServer, otherKind, verdict, outputTokens);
+        }
+
+        /** Returns the same failure with a verdict no milder than {@code least}. */
+        public Failed atLeast(Verdict least) {
+            return verdict.compareTo(least) >= 0 ? this : new Failed(server, kind, least, outputTokens);
+        }
+    }
 
     /** Ways in which a server fails an attempt. */
     enum FailureKind {
@@ -38,6 +49,8 @@
         FULL,
         /** It no longer holds the prefill result. */
         EVICTED,
+        /** It brought a transfer to no end in time. */
+        STALLED,
         /** It went silent or its connection broke. */
         BROKEN,
         /** It answered with an error. */
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
@@ -140,6 +140,10 @@
         switch (failed.kind()) {
             case FULL -> server.estimate().full();
             case EVICTED -> server.transferCalibration().learn(1, STALLED_RATIO, nowNanos);
+            case STALLED -> {
+                server.transferCalibration().learn(1, STALLED_RATIO, nowNanos);
+                server.health().failed(false, nowNanos);
+            }
             case UNREACHABLE -> server.health().failed(true, nowNanos);
             default -> server.health().failed(false, nowNanos);
         }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/BaselinePolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/BaselinePolicy.java
@@ -98,7 +98,8 @@
                 lessLoaded(prefill, ServerLoad::prefillQueueTokens),
                 lessLoaded(decode, ServerLoad::slotsUsed),
                 false,
-                PRIORITY);
+                PRIORITY,
+                StageLimits.LONGEST);
         return List.of(new RoutingAction.Place(attempt, placement));
     }
 
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/Candidate.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Candidate.java
@@ -7,6 +7,7 @@
  * @param decode generates tokens
  * @param prefillSeconds forecast time until the KV cache is there
  * @param prefillTokens the prompt tokens that are not cached
+ * @param linkWaitSeconds forecast wait for the link after that
  * @param transferSeconds forecast time on the link, waiting not included
  * @param firstTokenSeconds forecast time from now to the first token
  * @param tokenSeconds forecast time between tokens
@@ -17,6 +18,7 @@
         ServerState decode,
         double prefillSeconds,
         int prefillTokens,
+        double linkWaitSeconds,
         double transferSeconds,
         double firstTokenSeconds,
         double tokenSeconds,
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
@@ -291,7 +291,12 @@
         int priority = priority(request);
         actions.add(new RoutingAction.Place(
                 attempt,
-                new Placement(candidate.prefill().id(), candidate.decode().id(), true, priority)));
+                new Placement(
+                        candidate.prefill().id(),
+                        candidate.decode().id(),
+                        true,
+                        priority,
+                        StageForecast.limits(candidate))));
     }
 
     private void refuse(
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/PlacementSearch.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/PlacementSearch.java
@@ -173,6 +173,7 @@
                 prefill.seconds(),
                 prefill.tokens(),
                 0,
+                0,
                 first,
                 decode.tokenSeconds(),
                 cost);
@@ -186,7 +187,15 @@
         double first = OVERHEAD_SECONDS + ready + linkWait + to.transferSeconds() + to.tokenSeconds();
         double cost = from.cost() + to.cost() + (sameZone ? 0 : CROSS_ZONE_TRANSFER_SECONDS);
         return new Candidate(
-                from.server(), to.server(), ready, from.tokens(), to.transferSeconds(), first, to.tokenSeconds(), cost);
+                from.server(),
+                to.server(),
+                ready,
+                from.tokens(),
+                linkWait,
+                to.transferSeconds(),
+                first,
+                to.tokenSeconds(),
+                cost);
     }
 
     private double zoneCost(ServerState server) {
--- a/mangoridge-standin/src/test/java/org/mangoridge/standin/engine/EngineStandInTest.java
+++ b/mangoridge-standin/src/test/java/org/mangoridge/standin/engine/EngineStandInTest.java
@@ -93,19 +93,22 @@
         String prompt = prompt();
         reserve();
         EngineMessages.PrefillDone done = prefill.prefill(
-                        new EngineMessages.PrefillRequest(ATTEMPT.toString(), "entry-1", 1, "m", "1", prompt, 0))
+                        new EngineMessages.PrefillRequest(ATTEMPT.toString(), "entry-1", 1, "m", "1", prompt, 0),
+                        TIMEOUT)
                 .value();
-        decode.importKv(new EngineMessages.ImportRequest(
-                        ATTEMPT.toString(),
-                        done.handle(),
-                        prefillServer.address().toString()))
+        decode.importKv(
+                        new EngineMessages.ImportRequest(
+                                ATTEMPT.toString(),
+                                done.handle(),
+                                prefillServer.address().toString()),
+                        TIMEOUT)
                 .value();
         return read(decode.decode(decodeRequest("", firstIndex)).value());
     }
 
     /** Goes on at the engine that has to compute KV cache itself, under the next attempt. */
     private List<String> resume(List<String> whole, int firstIndex) {
-        prefill.reserve(new EngineMessages.ReserveRequest("r.2", "entry-1", 1, 1000, 10_000, 0))
+        prefill.reserve(new EngineMessages.ReserveRequest("r.2", "entry-1", 1, 1000, 10_000, 0), TIMEOUT)
                 .value();
         String generated = String.join("", whole.subList(0, firstIndex));
         return read(prefill.decode(new EngineMessages.DecodeRequest(
@@ -114,7 +117,7 @@
     }
 
     private void reserve() {
-        decode.reserve(new EngineMessages.ReserveRequest(ATTEMPT.toString(), "entry-1", 1, 1000, 10_000, 0))
+        decode.reserve(new EngineMessages.ReserveRequest(ATTEMPT.toString(), "entry-1", 1, 1000, 10_000, 0), TIMEOUT)
                 .value();
     }
 
