--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
@@ -9,9 +9,12 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
-import org.mangoridge.config.ConfigRepository;
+import org.mangoridge.config.ApplyId;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
@@ -22,6 +25,7 @@
 import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpLines;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.settings.deployment.KeyHash;
 import org.mangoridge.standin.engine.EngineProfile;
@@ -51,8 +55,9 @@
         parts.push(transport);
         platform = own(PlatformStandIn.start(ANY_PORT));
         engine = own(EngineStandIn.start(ANY_PORT, EngineProfile.of("both", "chalk-llm", "1"), clock));
-        ConfigRepository.create(HttpObjectStore.create(transport, platform.address(), TIMEOUT))
-                .publish(config());
+        ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
+        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new SplittableRandom(1)), clock)
+                .applyText(ApplyId.of("fleet"), "fleet", config());
         for (int i = 0; i < size; i++) {
             start("entry-" + i);
         }
