--- /dev/null
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load from a seed, and what came of it. */
+package org.mangoridge.bench.load;
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -12,6 +12,7 @@
 import org.apache.commons.cli.ParseException;
 import org.mangoridge.cli.command.ApplyCommand;
 import org.mangoridge.cli.command.AuditCommand;
+import org.mangoridge.cli.command.BenchCommand;
 import org.mangoridge.cli.command.CallCommand;
 import org.mangoridge.cli.command.CheckCommand;
 import org.mangoridge.cli.command.Command;
@@ -55,6 +56,7 @@
                 new CallCommand(),
                 new KeyCommand(),
                 new DemoCommand(),
+                new BenchCommand(),
                 new StandInCommand(),
                 new VersionCommand()));
     }
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/Answers.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/Answers.java
@@ -3,7 +3,7 @@
 import java.util.Objects;
 
 /** Chooses how long answers are and what they say, the same on every engine for the same prompt. */
-final class Answers {
+public final class Answers {
 
     private static final int HUNDRED = 100;
     private static final int FULL_LENGTH_PERCENT = 30;
@@ -11,7 +11,7 @@
     private Answers() {}
 
     /** Returns the tokens of the answer to {@code prompt}; fewer than {@code maxTokens} if it ends by itself. */
-    static int length(String prompt, int maxTokens, int shortest) {
+    public static int length(String prompt, int maxTokens, int shortest) {
         int draw = Math.floorMod(Objects.hash(prompt, maxTokens) * 0x9E3779B9, HUNDRED * HUNDRED);
         if (maxTokens <= shortest || draw % HUNDRED < FULL_LENGTH_PERCENT) {
             return maxTokens;
