Measure what a killed instance and an outage of the platform cost

Cause: the bench could break servers and links only; how one caller's burst or a phase of a fault weighs was lost in the sums.

Change: scenarios killed-instance and platform-outage; sums before, during and after what happens, and of the caller of a burst and the others; how long engines go on to hold something for a killed instance; a balancer that asks instances whether they are ready. Engine stand-ins can take an entry instance for dead for a time.

Not there yet: rolling-replacement and zone-cut. Conclusion: failures of instances and platform can be compared too.

--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchReport.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchReport.java
@@ -19,6 +19,7 @@
     private static final Duration PROMPT_REFUSAL = Duration.ofMillis(20);
     private static final double P99 = 0.99;
     private static final double PERCENT = 100;
+    private static final double MILLIS_PER_SECOND = 1000;
     private static final int BAR_WIDTH = 50;
 
     /** One line of the JSON form. */
@@ -91,9 +92,24 @@
                 .classes()
                 .forEach(trafficClass ->
                         printClass(policy, trafficClass, result.classes().get(trafficClass.name()))));
+        results.forEach((policy, result) -> result.groups().forEach((name, sums) -> printGroup(policy, name, sums)));
         results.forEach(this::printSums);
     }
 
+    private void printGroup(PolicyName policy, String name, ClassResult sums) {
+        print(
+                "%-9s %-20s offered %d, goodput %d (%.1f%%), late %d, refused %d, cut %d, false not-run %d%n",
+                text(policy),
+                name,
+                sums.offered(),
+                sums.goodput(),
+                sums.offered() == 0 ? 0 : PERCENT * sums.goodput() / sums.offered(),
+                sums.late(),
+                sums.refused(),
+                sums.cut(),
+                sums.falseNotRun());
+    }
+
     /** Prints goodput against load, a bar for each policy and load. */
     public void printChart(List<Double> loads, List<Map<PolicyName, PolicyResult>> results) {
         print(
@@ -151,6 +167,11 @@
                 millis(result.sentLate().percentile(P99)),
                 millis(result.sentLate().percentile(1)),
                 result.coresUsed());
+        if (result.memoryFreed().count() > 0) {
+            print(
+                    "%-9s memory of a killed instance freed after %.1f s%n",
+                    text(policy), millis(result.memoryFreed().percentile(1)) / MILLIS_PER_SECOND);
+        }
     }
 
     private static double millis(Duration duration) {
--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
@@ -3,29 +3,27 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
 import org.mangoridge.bench.load.TrafficClass;
-import org.mangoridge.bench.scenario.FaultStep;
 import org.mangoridge.bench.scenario.Fleet;
+import org.mangoridge.bench.scenario.SystemStep;
 import org.mangoridge.config.ApplyId;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
-import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.entry.EntryInstance;
-import org.mangoridge.http.HttpAnswer;
-import org.mangoridge.http.HttpCall;
-import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
@@ -33,9 +31,7 @@
 import org.mangoridge.routing.RoutingPolicies;
 import org.mangoridge.settings.InstanceSettings;
 import org.mangoridge.settings.deployment.KeyHash;
-import org.mangoridge.standin.engine.EngineCounts;
 import org.mangoridge.standin.engine.EngineProfile;
-import org.mangoridge.standin.engine.EngineStandIn;
 import org.mangoridge.standin.platform.PlatformStandIn;
 import org.mangoridge.standin.service.ServiceStandIn;
 
@@ -46,32 +42,42 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final int INSTANCES = 6;
     private static final int MAX_BODY_BYTES = 2 << 20;
-    private static final int READY_TRIES = 500;
-    private static final long READY_PAUSE_MILLIS = 20;
+    private static final Duration KILL_TIME = Duration.ofSeconds(1);
+    private static final Duration FREED_POLL = Duration.ofMillis(50);
     private static final String OPERATOR = "bench";
     private static final String SECRET = "bench-secret-";
 
     private final List<AutoCloseable> servers = new ArrayList<>();
-    private final Map<String, EngineStandIn> engines = new LinkedHashMap<>();
-    private final List<EntryInstance> instances = new ArrayList<>();
+    private final EngineFleet engines = new EngineFleet();
+    private final Map<Integer, EntryInstance> instances = new ConcurrentSkipListMap<>();
     private final Map<String, String> keys = new HashMap<>();
+    private final List<Duration> memoryFreed = new CopyOnWriteArrayList<>();
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final HttpTransport transport = HttpTransport.create(TIMEOUT);
     private final Fleet fleet;
-    private final HttpTransport transport;
+    private final PolicyName policy;
+    private final Clock clock;
+    private final long seed;
+    private final PlatformStandIn platform;
+    private Balancer balancer;
 
-    private BenchSystem(Fleet fleet) {
+    private BenchSystem(Fleet fleet, PolicyName policy, Clock clock, long seed) {
         this.fleet = fleet;
-        this.transport = HttpTransport.create(TIMEOUT);
+        this.policy = policy;
+        this.clock = clock;
+        this.seed = seed;
+        this.platform = own(PlatformStandIn.start(ANY_PORT));
     }
 
     /** Starts everything and waits until each instance is ready. */
     static BenchSystem start(Fleet fleet, PolicyName policy, Clock clock, long seed) throws InterruptedException {
-        BenchSystem system = new BenchSystem(fleet);
+        BenchSystem system = new BenchSystem(fleet, policy, clock, seed);
         try {
-            HostPort platform = system.own(PlatformStandIn.start(ANY_PORT)).address();
-            String config = system.startServers(clock);
-            system.publish(platform, config, clock, seed);
-            system.startInstances(platform, policy, clock, seed);
-            system.awaitReady();
+            system.publish(system.startServers());
+            for (int number = 1; number <= INSTANCES; number++) {
+                system.startInstance(number);
+            }
+            system.balancer = Balancer.start(() -> List.copyOf(system.instances.values()));
             return system;
         } catch (RuntimeException | InterruptedException e) {
             system.close();
@@ -79,62 +85,91 @@
         }
     }
 
-    /** Returns the addresses that callers connect to. */
-    List<HostPort> callerAddresses() {
-        return instances.stream().map(EntryInstance::callerAddress).toList();
+    /** Returns the address for the next request. */
+    HostPort nextCallerAddress() {
+        return balancer.next();
     }
 
-    /** Returns the key of each caller. */
-    Map<String, String> keys() {
-        return keys;
+    /** Returns the engines. */
+    EngineFleet engines() {
+        return engines;
     }
 
-    /** Puts a fault into force. */
-    void apply(FaultStep step) {
-        engines.get(step.server()).faults(step.faults());
+    /** Returns for each instance that was killed how long the engines went on to hold something for it. */
+    List<Duration> memoryFreed() {
+        return List.copyOf(memoryFreed);
     }
 
-    /** Returns what all engines truly did since they started. */
-    EngineCounts counts() {
-        return engines.values().stream().map(EngineStandIn::counts).reduce(EngineCounts.none(), EngineCounts::plus);
+    /** Returns the key of each caller. */
+    Map<String, String> keys() {
+        return keys;
     }
 
-    /** Tells whether any engine ran anything for a request. */
-    boolean hasRun(String request) {
-        return engines.values().stream().anyMatch(engine -> engine.hasRun(request));
+    /** Lets something happen to the system. */
+    void apply(SystemStep step) {
+        switch (step) {
+            case SystemStep.InstanceKilled killed -> kill(killed.number());
+            case SystemStep.InstanceStarted started -> startInstance(started.number());
+            case SystemStep.PlatformOutage outage -> platform.faults().outage(outage.down());
+        }
     }
 
     @Override
     public void close() {
-        closeAll(instances);
+        if (balancer != null) {
+            balancer.close();
+        }
+        threads.shutdownNow();
+        closeAll(instances.values());
+        closeAll(engines.all());
         closeAll(servers);
         transport.close();
     }
 
     /** Closes parts side by side, since each waits for its connections to end. */
-    private static void closeAll(List<? extends AutoCloseable> parts) {
-        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
-            parts.forEach(part -> threads.submit(() -> {
+    private static void closeAll(Collection<? extends AutoCloseable> parts) {
+        try (ExecutorService closers = Executors.newVirtualThreadPerTaskExecutor()) {
+            parts.forEach(part -> closers.submit(() -> {
                 part.close();
                 return null;
             }));
         }
     }
 
-    private void publish(HostPort platform, String config, Clock clock, long seed) {
-        ObjectStore store = HttpObjectStore.create(transport, platform, TIMEOUT);
+    /** Ends an instance so that nothing it does on the way out reaches an engine. */
+    private void kill(int number) {
+        EntryInstance instance = instances.remove(number);
+        Duration killed = clock.elapsed();
+        engines.sever(id(number), KILL_TIME);
+        threads.execute(instance::close);
+        threads.execute(() -> awaitFreed(id(number), killed));
+    }
+
+    private void awaitFreed(InstanceId instance, Duration killed) {
+        try {
+            while (engines.heldBy(instance) > 0) {
+                Thread.sleep(FREED_POLL);
+            }
+            memoryFreed.add(clock.elapsed().minus(killed));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void publish(String config) {
+        ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
         AuditLog audit = AuditLog.create(store, AuditLog.REFUSALS, new Random(seed));
         Publisher.create(store, audit, clock).applyText(ApplyId.of("bench-1"), OPERATOR, config);
     }
 
-    private String startServers(Clock clock) {
+    private String startServers() {
         StringBuilder config = new StringBuilder(services());
         fleet.classes().forEach(callerClass -> config.append(callersOf(callerClass)));
         for (int number = 1; number <= fleet.prefillServers(); number++) {
-            config.append(engine(fleet.prefillServer(number), fleet.prefillProfile(), number, clock));
+            config.append(engine(fleet.prefillServer(number), fleet.prefillProfile(), number));
         }
         for (int number = 1; number <= fleet.decodeServers(); number++) {
-            config.append(engine(fleet.decodeServer(number), fleet.decodeProfile(), number, clock));
+            config.append(engine(fleet.decodeServer(number), fleet.decodeProfile(), number));
         }
         for (int number = 1; number <= fleet.plainServers(); number++) {
             HostPort address = own(ServiceStandIn.start(ANY_PORT)).address();
@@ -143,42 +178,31 @@
         return config.toString();
     }
 
-    private void startInstances(HostPort platform, PolicyName policy, Clock clock, long seed) {
-        for (int index = 0; index < INSTANCES; index++) {
-            AvailabilityZone zone = AvailabilityZone.of(fleet.zone(index));
-            Random random = new Random(seed + index);
-            InstanceSettings settings = new InstanceSettings(
-                    InstanceId.of("entry-" + (index + 1)),
-                    zone,
-                    ANY_PORT,
-                    ANY_PORT,
-                    ANY_PORT,
-                    platform,
-                    List.of(),
-                    MAX_BODY_BYTES,
-                    TIMEOUT,
-                    TIMEOUT,
-                    Map.of());
-            instances.add(EntryInstance.start(
-                    settings, RoutingPolicies.create(policy, zone, new Random(seed - index)), clock, random));
-        }
+    private void startInstance(int number) {
+        AvailabilityZone zone = AvailabilityZone.of(fleet.zone(number - 1));
+        InstanceSettings settings = new InstanceSettings(
+                id(number),
+                zone,
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                platform.address(),
+                List.of(),
+                MAX_BODY_BYTES,
+                TIMEOUT,
+                TIMEOUT,
+                Map.of());
+        instances.put(
+                number,
+                EntryInstance.start(
+                        settings,
+                        RoutingPolicies.create(policy, zone, new Random(seed - number)),
+                        clock,
+                        new Random(seed + number)));
     }
 
-    private void awaitReady() throws InterruptedException {
-        for (EntryInstance instance : instances) {
-            HttpCall call = HttpCall.get(instance.operatorAddress().httpUri("/ready"), TIMEOUT);
-            boolean ready = false;
-            for (int attempt = 0; attempt < READY_TRIES && !ready; attempt++) {
-                Result<HttpAnswer, HttpFailure> answer = transport.send(call);
-                ready = answer.isOk() && answer.value().isSuccess();
-                if (!ready) {
-                    Thread.sleep(READY_PAUSE_MILLIS);
-                }
-            }
-            if (!ready) {
-                throw new IllegalStateException("an entry instance does not become ready");
-            }
-        }
+    private static InstanceId id(int number) {
+        return InstanceId.of("entry-" + number);
     }
 
     private String services() {
@@ -220,10 +244,9 @@
         return section.toString();
     }
 
-    private String engine(String name, EngineProfile profile, int number, Clock clock) {
-        EngineStandIn engine = own(EngineStandIn.start(ANY_PORT, profile, clock));
-        engines.put(name, engine);
-        return server(name, engine.address(), number, profile.role(), fleet.service());
+    private String engine(String name, EngineProfile profile, int number) {
+        HostPort address = engines.start(name, profile, clock);
+        return server(name, address, number, profile.role(), fleet.service());
     }
 
     private String server(String name, HostPort address, int number, String role, String service) {
--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/Segment.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/Segment.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
 
 import com.sun.management.OperatingSystemMXBean;
 import org.mangoridge.bench.load.Arrival;
@@ -27,6 +29,7 @@
 import org.mangoridge.bench.scenario.Fleet;
 import org.mangoridge.bench.scenario.Scenario;
 import org.mangoridge.bench.scenario.SegmentTimes;
+import org.mangoridge.bench.scenario.SystemStep;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.routing.PolicyName;
 import org.mangoridge.standin.engine.Answers;
@@ -35,6 +38,7 @@
 /** One stretch of load under one policy on a system of its own. */
 final class Segment {
 
+    private static final String NO_GROUP = "";
     private static final Duration EVICTION_PAUSE = Duration.ofSeconds(1);
 
     private final Scenario scenario;
@@ -59,8 +63,12 @@
             AtomicReference<EngineCounts> before = new AtomicReference<>(EngineCounts.none());
             ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
             try {
-                at(timer, times.warmUp(), () -> before.set(system.counts()));
+                at(timer, times.warmUp(), () -> before.set(system.engines().counts()));
                 for (FaultStep step : scenario.faults()) {
+                    at(timer, times.measuredAt(step.at()), () -> system.engines()
+                            .apply(step));
+                }
+                for (SystemStep step : scenario.steps()) {
                     at(timer, times.measuredAt(step.at()), () -> system.apply(step));
                 }
                 Duration started = clock.elapsed();
@@ -69,7 +77,7 @@
                 double cores = ratio(
                         processorTime().minus(processorBefore), clock.elapsed().minus(started));
                 Thread.sleep(EVICTION_PAUSE);
-                return result(system, outcomes, system.counts().since(before.get()), cores);
+                return result(system, outcomes, system.engines().counts().since(before.get()), cores);
             } finally {
                 timer.shutdownNow();
             }
@@ -82,7 +90,7 @@
         return LoadGenerator.create(
                 clock,
                 fleet.service(),
-                system.callerAddresses(),
+                system::nextCallerAddress,
                 system.keys(),
                 (prompt, maxTokens, tokens) -> tokens == Answers.length(prompt, maxTokens, shortest));
     }
@@ -107,12 +115,37 @@
         Map<String, ClassResult> classes = new LinkedHashMap<>();
         for (int index = 0; index < byClass.size(); index++) {
             List<Outcome> outcomes = byClass.get(index);
-            int falseNotRun = (int) outcomes.stream()
-                    .filter(outcome -> outcome.saysNotRun() && system.hasRun(outcome.requestId()))
-                    .count();
+            int falseNotRun = falseNotRun(outcomes, system);
             classes.put(fleet.classes().get(index).name(), ClassResult.of(outcomes, bounds.get(index), falseNotRun));
         }
-        return new PolicyResult(classes, engines, sentLate(measured), cores);
+        Map<String, ClassResult> groups = new LinkedHashMap<>();
+        measured.stream()
+                .collect(Collectors.groupingBy(this::group, TreeMap::new, Collectors.toList()))
+                .forEach((name, outcomes) ->
+                        groups.put(name, ClassResult.of(outcomes, 0, falseNotRun(outcomes, system))));
+        groups.remove(NO_GROUP);
+        return new PolicyResult(classes, groups, engines, Delays.of(system.memoryFreed()), sentLate(measured), cores);
+    }
+
+    /** Returns the part of the scenario that a request belongs to: a phase, or whether the caller sends a burst. */
+    private String group(Outcome outcome) {
+        Arrival arrival = outcome.arrival();
+        if (scenario.hasBurst()) {
+            return scenario.isBursting(arrival.caller()) ? "caller of the burst" : "other callers";
+        }
+        if (scenario.firstAt() == scenario.lastAt()) {
+            return NO_GROUP;
+        }
+        if (arrival.at().compareTo(times.measuredAt(scenario.firstAt())) < 0) {
+            return "1 before";
+        }
+        return arrival.at().compareTo(times.measuredAt(scenario.lastAt())) < 0 ? "2 during" : "3 after";
+    }
+
+    private static int falseNotRun(List<Outcome> outcomes, BenchSystem system) {
+        return (int) outcomes.stream()
+                .filter(outcome -> outcome.saysNotRun() && system.engines().hasRun(outcome.requestId()))
+                .count();
     }
 
     private static Delays sentLate(List<Outcome> outcomes) {
--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/load/LoadGenerator.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/load/LoadGenerator.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import org.mangoridge.core.net.HostPort;
@@ -31,17 +32,17 @@
 
     private final Clock clock;
     private final String service;
-    private final List<HostPort> instances;
+    private final Supplier<HostPort> instances;
     private final Map<String, String> keys;
     private final AnswerCheck check;
     private final HttpTransport transport = HttpTransport.create(CONNECT_TIMEOUT);
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
 
     private LoadGenerator(
-            Clock clock, String service, List<HostPort> instances, Map<String, String> keys, AnswerCheck check) {
+            Clock clock, String service, Supplier<HostPort> instances, Map<String, String> keys, AnswerCheck check) {
         this.clock = clock;
         this.service = service;
-        this.instances = List.copyOf(instances);
+        this.instances = instances;
         this.keys = Map.copyOf(keys);
         this.check = check;
     }
@@ -55,12 +56,13 @@
     }
 
     /**
-     * Returns a generator that spreads requests over entry instances in turn.
+     * Returns a generator.
      *
+     * @param instances gives the address for each request
      * @param keys the key of each caller
      */
     public static LoadGenerator create(
-            Clock clock, String service, List<HostPort> instances, Map<String, String> keys, AnswerCheck check) {
+            Clock clock, String service, Supplier<HostPort> instances, Map<String, String> keys, AnswerCheck check) {
         return new LoadGenerator(clock, service, instances, keys, check);
     }
 
@@ -68,9 +70,8 @@
     public List<Outcome> run(List<Arrival> schedule) throws InterruptedException {
         Duration start = clock.elapsed();
         List<Future<Outcome>> pending = new ArrayList<>(schedule.size());
-        for (int index = 0; index < schedule.size(); index++) {
-            Arrival arrival = schedule.get(index);
-            HttpCall call = call(arrival, instances.get(index % instances.size()));
+        for (Arrival arrival : schedule) {
+            HttpCall call = call(arrival, instances.get());
             Duration due = start.plus(arrival.at());
             Duration left = due.minus(clock.elapsed());
             if (left.isPositive()) {
--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/scenario/Scenario.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/scenario/Scenario.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.DoubleStream;
 
 import org.mangoridge.bench.load.ArrivalSchedule.Flow;
 import org.mangoridge.bench.load.TrafficClass;
@@ -38,7 +39,12 @@
                     new FaultStep(0.33, "decode-1", EngineFaults.stalledLink()),
                     new FaultStep(0.33, "decode-2", EngineFaults.stalledLink()),
                     new FaultStep(0.67, "decode-1", EngineFaults.none()),
-                    new FaultStep(0.67, "decode-2", EngineFaults.none())));
+                    new FaultStep(0.67, "decode-2", EngineFaults.none()))),
+    /** An entry instance dies after a third of the interval; one of its name starts after two. */
+    KILLED_INSTANCE(0.7, List.of(new SystemStep.InstanceKilled(0.33, 1), new SystemStep.InstanceStarted(0.67, 1))),
+    /** The platform does not answer in the middle third of the interval. */
+    PLATFORM_OUTAGE(
+            0.7, List.of(new SystemStep.PlatformOutage(0.33, true), new SystemStep.PlatformOutage(0.67, false)));
 
     private static final double BURST_LOAD = 0.6;
     private static final double BURST_FROM = 0.25;
@@ -48,11 +54,20 @@
     private final Fleet fleet;
     private final double load;
     private final List<FaultStep> faults;
+    private final List<SystemStep> steps;
 
     Scenario(Fleet fleet, double load, List<FaultStep> faults) {
         this.fleet = fleet;
         this.load = load;
         this.faults = faults;
+        this.steps = List.of();
+    }
+
+    Scenario(double load, List<SystemStep> steps) {
+        this.fleet = Fleet.chalk();
+        this.load = load;
+        this.faults = List.of();
+        this.steps = steps;
     }
 
     /** Returns the scenario with the name that the command line uses. */
@@ -82,6 +97,36 @@
         return faults;
     }
 
+    /** Returns what happens to the system beside the faults of servers, in the order of the times. */
+    public List<SystemStep> steps() {
+        return steps;
+    }
+
+    /** Returns when the first of all faults and steps happens, as a share of the measured interval; 1 if none does. */
+    public double firstAt() {
+        return times().min().orElse(1);
+    }
+
+    /** Returns when the last of all faults and steps happens, as a share of the measured interval; 1 if none does. */
+    public double lastAt() {
+        return times().max().orElse(1);
+    }
+
+    /** Tells whether one caller sends a burst. */
+    public boolean hasBurst() {
+        return this == BURST;
+    }
+
+    /** Tells whether {@code caller} is the one that sends the burst. */
+    public boolean isBursting(String caller) {
+        return caller.equals(fleet.classes().get(0).caller(BURST_CALLER));
+    }
+
+    private DoubleStream times() {
+        return DoubleStream.concat(
+                faults.stream().mapToDouble(FaultStep::at), steps.stream().mapToDouble(SystemStep::at));
+    }
+
     /**
      * Returns the streams of arrivals.
      *
@@ -92,7 +137,7 @@
     public List<Flow> flows(double perSecond, double capacityPerSecond, SegmentTimes times) {
         List<Flow> flows = new ArrayList<>();
         flows.add(new Flow(Duration.ZERO, times.whole(), perSecond, fleet.classes(), 0));
-        if (this == BURST) {
+        if (hasBurst()) {
             TrafficClass urgent = fleet.classes().get(0);
             flows.add(new Flow(
                     times.measuredAt(BURST_FROM),
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineCore.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineCore.java
@@ -25,6 +25,7 @@
 final class EngineCore {
 
     private static final int MAX_CANCELLED = 20_000;
+    private static final String OWNER_SEPARATOR = "-";
 
     /** How a reservation is answered. */
     enum Reservation {
@@ -70,6 +71,7 @@
     private final Map<String, Prefill> prefills = new HashMap<>();
     private final Map<String, WorkUnit.Job> transfers = new HashMap<>();
     private final Set<String> cancelled = new LinkedHashSet<>();
+    private final Map<String, Duration> severed = new HashMap<>();
     private EngineFaults faults = EngineFaults.none();
 
     EngineCore(EngineProfile profile) {
@@ -99,6 +101,17 @@
         link.freeze(faults.linkStalled(), now);
     }
 
+    /** Takes an entry instance for dead until {@code until}: its calls are dropped and its streams end. */
+    void sever(String instance, Duration until) {
+        severed.put(instance, until);
+    }
+
+    /** Tells whether an attempt is one of an instance that is taken for dead. */
+    boolean isSevered(String attempt, Duration now) {
+        severed.values().removeIf(until -> until.compareTo(now) < 0);
+        return severed.keySet().stream().anyMatch(instance -> attempt.startsWith(instance + OWNER_SEPARATOR));
+    }
+
     /** Finishes what is done by {@code now}. */
     void advance(Duration now) {
         prefillUnit.advance(now);
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.mangoridge.core.Result;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.engine.EngineMessages;
@@ -75,6 +76,19 @@
         });
     }
 
+    /** For {@code time}, drops the calls of an entry instance and ends its streams, as if its process had died. */
+    public void sever(InstanceId instance, Duration time) {
+        engine.apply((core, now) -> {
+            core.sever(instance.value(), now.plus(time));
+            return instance;
+        });
+    }
+
+    /** Returns how many attempts of an entry instance hold slots, memory or a place in the prefill queue. */
+    public int heldBy(InstanceId instance) {
+        return engine.look((core, now) -> core.held(instance.value(), now)).size();
+    }
+
     /** Returns what the engine truly did. */
     public EngineCounts counts() {
         return engine.look(EngineCore::counts);
@@ -144,6 +158,9 @@
     private WebReply byPrefix(WebRequest request) {
         if (request.method().equals("DELETE") && request.path().startsWith(ATTEMPTS)) {
             String attempt = request.path().substring(ATTEMPTS.length());
+            if (isSevered(attempt)) {
+                return new WebReply.Dropped();
+            }
             boolean released = engine.apply((core, now) -> core.cancel(attempt, now));
             return WebReply.json(200, new EngineMessages.Released(attempt, released));
         }
@@ -153,6 +170,10 @@
         return WebReply.json(404, ErrorBody.of("not_found", "no such path"));
     }
 
+    private boolean isSevered(String attempt) {
+        return engine.look((core, now) -> core.isSevered(attempt, now));
+    }
+
     private interface BodyHandler<T> {
         WebReply handle(T message);
     }
@@ -174,6 +195,9 @@
     }
 
     private WebReply reserve(EngineMessages.ReserveRequest request) {
+        if (isSevered(request.attempt())) {
+            return new WebReply.Dropped();
+        }
         return switch (engine.apply((core, now) -> core.reserve(request, now))) {
             case HELD ->
                 WebReply.json(
@@ -187,6 +211,9 @@
     }
 
     private WebReply prefill(EngineMessages.PrefillRequest request) {
+        if (isSevered(request.attempt())) {
+            return new WebReply.Dropped();
+        }
         Holder holder = new Holder(request.attempt(), request.instance(), request.incarnation());
         Optional<EngineCore.Prefill> prefill =
                 engine.apply((core, now) -> core.prefill(holder, request.prompt(), request.priority(), now));
@@ -236,6 +263,9 @@
     }
 
     private WebReply decode(EngineMessages.DecodeRequest request, WebRequest web) {
+        if (isSevered(request.attempt())) {
+            return new WebReply.Dropped();
+        }
         if (!engine.look((core, now) -> core.holds(request.attempt()))) {
             return cancelled();
         }
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/TokenStreamWriter.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/TokenStreamWriter.java
@@ -62,7 +62,7 @@
             engine.sleepUntil(due);
             due = awaitProgress(due);
             boolean generated = engine.look((core, now) -> core.token(request.attempt()));
-            if (!generated || web.disconnect().isGone() || !sendToken(sink, index)) {
+            if (!generated || isGone() || !sendToken(sink, index)) {
                 return false;
             }
         }
@@ -81,7 +81,7 @@
     }
 
     private boolean isGone() {
-        return web.disconnect().isGone();
+        return web.disconnect().isGone() || engine.look((core, now) -> core.isSevered(request.attempt(), now));
     }
 
     private boolean sendToken(StreamSink sink, int index) {
--- a/mangoridge-standin/src/test/java/org/mangoridge/standin/engine/EngineCoreTest.java
+++ b/mangoridge-standin/src/test/java/org/mangoridge/standin/engine/EngineCoreTest.java
@@ -211,6 +211,14 @@
         assertThat(held()).isEmpty();
     }
 
+    @Test
+    void onlyAttemptsOfASeveredInstanceAreDroppedAndOnlyForATime() {
+        core.sever("entry-1", ms(1000));
+        assertThat(core.isSevered("entry-1-77-5.1", ms(999))).isTrue();
+        assertThat(core.isSevered("entry-11-77-5.1", ms(999))).isFalse();
+        assertThat(core.isSevered("entry-1-77-5.1", ms(1001))).isFalse();
+    }
+
     private WorkUnit.Job prefill(String attempt, String prompt, int priority, long atMillis) {
         return core.prefill(holder(attempt), prompt, priority, ms(atMillis))
                 .orElseThrow()
