Spread a configuration by a few watchers a zone and by peers

Cause: every instance read the head once a second, so that the platform's calls grew with the fleet; an instance started during an outage had nothing to serve by, and nothing told why a newer configuration was not in force.

Change: a pure state machine decides how an instance follows the configuration: two instances of a zone hold a watch of 5 s, the others ask them or whoever is known to be ahead, and turn to the platform only if three peers in a row fail. Only a greater generation whose hashes verify is adopted; an older one in the platform is replaced by the newest known, with an audit entry. Peers are sent the pieces that they lack. Calls are budgeted by purpose.

--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -6,9 +6,11 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
-import org.mangoridge.config.ConfigRepository;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
+import org.mangoridge.config.spread.AgentTiming;
+import org.mangoridge.config.spread.ConfigAgent;
+import org.mangoridge.config.spread.ConfigPeers;
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -22,6 +24,7 @@
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.entry.config.AuditPages;
+import org.mangoridge.entry.config.ConfigCalls;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
@@ -34,6 +37,9 @@
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.budget.BudgetedStore;
+import org.mangoridge.platform.budget.CallBudget;
+import org.mangoridge.platform.budget.CallPurpose;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.RoutingEvent;
 import org.mangoridge.routing.RoutingPolicy;
@@ -119,8 +125,22 @@
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
         ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+        CallBudget budget = CallBudget.full(clock.elapsed());
+        AuditLog audit = AuditLog.create(
+                BudgetedStore.of(store, budget, CallPurpose.AUDIT, clock), AuditLog.zoneTrail(settings.zone()), random);
+        ConfigPeers peers = ConfigPeers.none(settings.id());
+        AgentTiming timing =
+                AgentTiming.standard().expectingPeers(!settings.seeds().isEmpty());
         follower = own(ConfigFollower.start(
-                ConfigRepository.create(store),
+                ConfigAgent.create(settings.id(), timing, random),
+                ConfigCalls.create(
+                        BudgetedStore.of(store, budget, CallPurpose.CONFIGURATION, clock),
+                        peers,
+                        audit,
+                        settings.id(),
+                        clock),
+                peers::view,
+                clock,
                 config -> driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()))));
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
@@ -129,7 +149,13 @@
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random));
+                owner,
+                this::config,
+                metrics,
+                accounts,
+                configEndpoint(settings, BudgetedStore.of(store, budget, CallPurpose.OPERATORS, clock), clock, random),
+                () -> follower,
+                peers);
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -4,9 +4,11 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.config.spread.ConfigPeers;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.config.ConfigEndpoint;
+import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.metrics.PrometheusText;
 import org.mangoridge.routing.accounting.CallerUse;
@@ -26,8 +28,27 @@
      * @param generation the configuration in force
      * @param hash the hash of its text
      * @param ready whether it takes requests
+     * @param source where the configuration came from, empty before the first
+     * @param problem what is wrong with a newer configuration or with following it, empty if nothing
+     * @param peers what the other instances have in force, as far as this one knows
      */
-    record Status(String instance, long incarnation, long generation, String hash, boolean ready) {}
+    record Status(
+            String instance,
+            long incarnation,
+            long generation,
+            String hash,
+            boolean ready,
+            String source,
+            String problem,
+            List<PeerStatus> peers) {}
+
+    /**
+     * What another instance has in force.
+     *
+     * @param instance its name
+     * @param generation its generation
+     */
+    record PeerStatus(String instance, long generation) {}
 
     /**
      * What one caller's requests came to.
@@ -46,18 +67,24 @@
     private final MetricRegistry metrics;
     private final AccountLedger accounts;
     private final ConfigEndpoint configEndpoint;
+    private final Supplier<ConfigFollower> follower;
+    private final ConfigPeers peers;
 
     OperatorEndpoint(
             Owner owner,
             Supplier<ConfigInForce> config,
             MetricRegistry metrics,
             AccountLedger accounts,
-            ConfigEndpoint configEndpoint) {
+            ConfigEndpoint configEndpoint,
+            Supplier<ConfigFollower> follower,
+            ConfigPeers peers) {
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
         this.accounts = accounts;
         this.configEndpoint = configEndpoint;
+        this.follower = follower;
+        this.peers = peers;
     }
 
     @Override
@@ -78,12 +105,22 @@
                                 owner.incarnation().value(),
                                 inForce.generation().value(),
                                 inForce.hash(),
-                                inForce.isAdopted()));
+                                inForce.isAdopted(),
+                                follower.get().source(),
+                                follower.get().problem(),
+                                peerStatus()));
             case "GET /accounts" -> WebReply.json(200, accountList());
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
     }
 
+    private List<PeerStatus> peerStatus() {
+        return peers.view().generations().stream()
+                .map(peer -> new PeerStatus(
+                        peer.instance().value(), peer.generation().value()))
+                .toList();
+    }
+
     private List<Account> accountList() {
         return accounts.uses().join().stream().map(OperatorEndpoint::account).toList();
     }
