--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -7,9 +7,11 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
-import org.mangoridge.config.ConfigRepository;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
+import org.mangoridge.config.spread.AgentTiming;
+import org.mangoridge.config.spread.ConfigAgent;
+import org.mangoridge.config.spread.ConfigPeers;
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -26,6 +28,7 @@
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.entry.config.AuditPages;
+import org.mangoridge.entry.config.ConfigCalls;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
@@ -39,6 +42,7 @@
 import org.mangoridge.entry.orders.TrailOrderAudit;
 import org.mangoridge.entry.peers.InFlightCounter;
 import org.mangoridge.entry.peers.OrphanSweeper;
+import org.mangoridge.entry.peers.PeerConfigs;
 import org.mangoridge.entry.peers.PeerEvents;
 import org.mangoridge.entry.peers.PeerNode;
 import org.mangoridge.entry.plain.PlainRequestHandler;
@@ -48,6 +52,9 @@
 import org.mangoridge.peer.membership.Rendezvous;
 import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.budget.BudgetedStore;
+import org.mangoridge.platform.budget.CallBudget;
+import org.mangoridge.platform.budget.CallPurpose;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.RoutingEvent;
 import org.mangoridge.routing.RoutingPolicy;
@@ -67,14 +74,39 @@
     private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
 
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+    private final InstanceSettings settings;
+    private final Clock clock;
+    private final RandomGenerator random;
     private final Owner owner;
+    private final ControlLoop control;
+    private final HttpTransport transport;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final AccountLedger accounts;
+    private final InFlightCounter inFlight;
+    private final RoutingDriver driver;
+    private final EngineDirectory engines;
+    private final ObjectStore store;
+    private final CallBudget budget;
+    private final AuditLog audit;
     private volatile ConfigFollower follower;
     private PeerNode peers;
     private WebServer callerServer;
     private WebServer operatorServer;
 
-    private EntryInstance(Owner owner) {
-        this.owner = owner;
+    private EntryInstance(InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
+        this.settings = settings;
+        this.clock = clock;
+        this.random = random;
+        owner = new Owner(settings.id(), Incarnation.of(clock.now().toEpochMilli()));
+        control = own(ControlLoop.start("control-" + settings.id()));
+        transport = own(HttpTransport.create(CONNECT_TIMEOUT));
+        accounts = AccountLedger.create(control, metrics);
+        inFlight = InFlightCounter.around(policy);
+        driver = RoutingDriver.create(control, clock, inFlight);
+        engines = address -> HttpModelEngine.create(transport, address);
+        store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+        budget = CallBudget.full(clock.elapsed());
+        audit = AuditLog.create(storeFor(CallPurpose.AUDIT), AuditLog.zoneTrail(settings.zone()), random);
     }
 
     /**
@@ -87,17 +119,19 @@
      */
     public static EntryInstance start(
             InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
-        Owner owner = new Owner(settings.id(), Incarnation.of(clock.now().toEpochMilli()));
-        EntryInstance instance = new EntryInstance(owner);
+        EntryInstance instance = new EntryInstance(settings, policy, clock, random);
         try {
-            instance.wire(settings, policy, clock, random);
+            instance.startMembership();
+            instance.startConfiguration();
+            instance.startOrders();
+            instance.startServers();
         } catch (RuntimeException e) {
             instance.close();
             throw e;
         }
         EventLog.write(
                 LogEvent.INSTANCE_STARTED,
-                Field.of("instance", owner),
+                Field.of("instance", instance.owner),
                 Field.of("zone", settings.zone()),
                 Field.of("peers", instance.peerAddress()),
                 Field.of("callers", instance.callerAddress()),
@@ -133,16 +167,7 @@
         EventLog.write(LogEvent.INSTANCE_STOPPED, Field.of("instance", owner));
     }
 
-    private void wire(InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
-        ControlLoop control = own(ControlLoop.start("control-" + settings.id()));
-        HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
-        MetricRegistry metrics = new MetricRegistry();
-        AccountLedger accounts = AccountLedger.create(control, metrics);
-        InFlightCounter counter = InFlightCounter.around(policy);
-        RoutingDriver driver = RoutingDriver.create(control, clock, counter);
-        control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
-        EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
-        ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+    private void startMembership() {
         OrphanSweeper sweeper =
                 own(OrphanSweeper.create(control, clock, engines, () -> config().deployment(), () -> peers.view()));
         peers = own(PeerNode.start(
@@ -152,43 +177,65 @@
                 clock,
                 random,
                 this::configNewerThan,
-                counter,
+                inFlight,
                 new PeerEvents(driver, sweeper)));
         control.post(() -> sweeper.gone(formerRuns()));
         control.every(SWEEP_TICK, sweeper::tick);
-        peers.followList(store);
-        follower = own(ConfigFollower.start(ConfigRepository.create(store), config -> {
-            driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
-            peers.adopted(config.generation());
-        }));
-        own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
-        OrderAudit orderAudit =
-                TrailOrderAudit.create(AuditLog.create(store, TrailOrderAudit.TRAIL, random), owner, clock);
-        own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, orderAudit))
+        peers.followList(storeFor(CallPurpose.CONFIGURATION));
+    }
+
+    private void startConfiguration() {
+        ConfigPeers configPeers = PeerConfigs.of(() -> peers);
+        AgentTiming timing =
+                AgentTiming.standard().expectingPeers(!settings.seeds().isEmpty());
+        ConfigCalls calls =
+                ConfigCalls.create(storeFor(CallPurpose.CONFIGURATION), configPeers, audit, settings.id(), clock);
+        follower = own(ConfigFollower.start(
+                ConfigAgent.create(settings.id(), timing, random), calls, configPeers::view, clock, this::adopted));
+    }
+
+    private void adopted(ConfigInForce config) {
+        driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
+        peers.adopted(config.generation());
+    }
+
+    private void startOrders() {
+        OrderAudit orderAudit = TrailOrderAudit.create(audit, owner, clock);
+        ObjectStore leases = storeFor(CallPurpose.LEASES);
+        own(OrderLoop.create(control, clock, owner, settings.zone(), leases, engines, orderAudit))
                 .start(() -> config().deployment(), this::isLeaseCandidate);
+    }
+
+    private void startServers() {
+        control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
+        own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         CancelSender cancels = own(CancelSender.create(engines));
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, cancels, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random), peers::view);
+                owner, this::config, metrics, accounts, configEndpoint(), () -> follower, peers::view);
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
                 own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
     }
 
-    private ConfigEndpoint configEndpoint(
-            InstanceSettings settings, ObjectStore store, Clock clock, RandomGenerator random) {
-        AuditLog refusals = AuditLog.create(store, AuditLog.REFUSALS, random);
+    private ConfigEndpoint configEndpoint() {
+        ObjectStore operatorStore = storeFor(CallPurpose.OPERATORS);
+        AuditLog refusals = AuditLog.create(operatorStore, AuditLog.REFUSALS, random);
         return ConfigEndpoint.create(
                 OperatorAuthenticator.of(settings.operators()),
-                Publisher.create(store, refusals, clock),
-                AuditPages.create(store),
+                Publisher.create(operatorStore, refusals, clock),
+                AuditPages.create(operatorStore),
                 () -> follower.published(),
                 settings.id().value());
     }
 
+    private ObjectStore storeFor(CallPurpose purpose) {
+        return BudgetedStore.of(store, budget, purpose, clock);
+    }
+
     /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
     private Owner formerRuns() {
         long last = Math.max(0, owner.incarnation().value() - 1);
@@ -196,7 +243,10 @@
     }
 
     private PeerConfig configNewerThan(Generation known) {
-        return PeerConfig.nothingNewer(config().generation());
+        ConfigFollower current = follower;
+        return current == null
+                ? PeerConfig.nothingNewer(Generation.of(0))
+                : PeerConfigs.answer(current.history(), known);
     }
 
     /** Tells whether this instance is among the few of its zone that watch the lease of {@code service}. */
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/TrailOrderAudit.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/TrailOrderAudit.java
@@ -17,9 +17,6 @@
 /** Records orders in an audit trail of the platform's store. */
 public final class TrailOrderAudit implements OrderAudit {
 
-    /** The name of the trail. */
-    public static final String TRAIL = "orders";
-
     private final AuditLog trail;
     private final Owner owner;
     private final Clock clock;
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
@@ -17,6 +17,7 @@
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.Generation;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
@@ -29,6 +30,7 @@
 import org.mangoridge.peer.membership.MembershipEvent;
 import org.mangoridge.peer.membership.MembershipTiming;
 import org.mangoridge.peer.membership.PeerView;
+import org.mangoridge.peer.membership.Rendezvous;
 import org.mangoridge.peer.membership.ServingState;
 import org.mangoridge.peer.rpc.PeerClient;
 import org.mangoridge.peer.rpc.PeerConfig;
@@ -51,6 +53,8 @@
 
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(300);
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(5);
+    private static final String LIST_RANKING = "instance-list";
+    private static final int LIST_READERS = 2;
     private static final Duration CONFIG_TIMEOUT = Duration.ofSeconds(2);
 
     private final ControlLoop control;
@@ -221,7 +225,18 @@
         control.post(() -> apply(event));
     }
 
+    /** A few instances of each zone read the list; the others hear of it by gossip. */
+    private boolean isListReader() {
+        List<InstanceId> zone = view.liveInZone().stream().map(Member::id).toList();
+        return Rendezvous.rank(LIST_RANKING, zone).stream()
+                .limit(LIST_READERS)
+                .anyMatch(view.self().id()::equals);
+    }
+
     private void readList(ObjectStore store) {
+        if (!isListReader()) {
+            return;
+        }
         try {
             Result<List<ListedInstance>, StoreFailure> list = store.instances();
             if (list.isOk()) {
