Show whose requests fill a backend server and whose are refused

Cause: accounts knew served, refused and abandoned requests of a caller, but not which server they used; an owner could not see whose requests filled it.

Change: every attempt records the slot and memory pieces that it holds, the prompt tokens computed and the bytes fetched for it, by caller, class and service, for the last five minutes; refusals are counted by caller and reason. Past 32 callers a minute the Space-Saving summary drops the lightest and states the error. GET /top?server=ID and the command top show it.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -22,6 +22,7 @@
 import org.mangoridge.cli.command.ServeCommand;
 import org.mangoridge.cli.command.StandInCommand;
 import org.mangoridge.cli.command.StatusCommand;
+import org.mangoridge.cli.command.TopCommand;
 import org.mangoridge.cli.command.UsageException;
 import org.mangoridge.cli.command.VersionCommand;
 import org.mangoridge.cli.demo.DemoCommand;
@@ -52,6 +53,7 @@
                 new ApplyCommand(),
                 new StatusCommand(),
                 new AuditCommand(),
+                new TopCommand(),
                 new CallCommand(),
                 new KeyCommand(),
                 new DemoCommand(),
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -115,7 +115,7 @@
         ControlLoop control = own(ControlLoop.start("control-" + settings.id()));
         HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
         MetricRegistry metrics = new MetricRegistry();
-        AccountLedger accounts = AccountLedger.create(control, metrics);
+        AccountLedger accounts = AccountLedger.create(control, metrics, clock);
         RoutingDriver driver = RoutingDriver.create(control, clock, policy);
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.id.ServerId;
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigInForce;
@@ -80,10 +81,21 @@
                                 inForce.hash(),
                                 inForce.isAdopted()));
             case "GET /accounts" -> WebReply.json(200, accountList());
+            case "GET /top" -> top(inForce, web);
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
     }
 
+    private WebReply top(ConfigInForce inForce, WebRequest web) {
+        return web.queryValue("server")
+                .filter(name -> !name.isBlank())
+                .flatMap(name -> inForce.deployment().server(ServerId.of(name)))
+                .map(server -> WebReply.json(
+                        200, accounts.top(server.id(), server.service()).join()))
+                .orElseGet(() -> WebReply.json(
+                        404, ErrorBody.of("unknown_server", "the configuration in force has no such server")));
+    }
+
     private List<Account> accountList() {
         return accounts.uses().join().stream().map(OperatorEndpoint::account).toList();
     }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/accounts/AccountLedger.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/accounts/AccountLedger.java
@@ -1,29 +1,43 @@
 package org.mangoridge.entry.accounts;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 
 import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.id.CallerId;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.entry.control.ControlLoop;
 import org.mangoridge.routing.accounting.CallerAccounts;
 import org.mangoridge.routing.accounting.CallerUse;
+import org.mangoridge.routing.accounting.RefusalAccounts;
+import org.mangoridge.routing.accounting.ServerAccounts;
+import org.mangoridge.routing.accounting.UseKey;
 
 /** Records what became of requests; any thread may call it. */
 public final class AccountLedger {
 
     private final ControlLoop control;
     private final MetricRegistry metrics;
+    private final Clock clock;
     private final CallerAccounts accounts = CallerAccounts.create();
+    private final ServerAccounts servers = ServerAccounts.create();
+    private final RefusalAccounts refusals = RefusalAccounts.create();
 
-    private AccountLedger(ControlLoop control, MetricRegistry metrics) {
+    private AccountLedger(ControlLoop control, MetricRegistry metrics, Clock clock) {
         this.control = control;
         this.metrics = metrics;
+        this.clock = clock;
     }
 
     /** Returns an empty ledger whose accounts only the control thread touches. */
-    public static AccountLedger create(ControlLoop control, MetricRegistry metrics) {
-        return new AccountLedger(control, metrics);
+    public static AccountLedger create(ControlLoop control, MetricRegistry metrics, Clock clock) {
+        return new AccountLedger(control, metrics, clock);
     }
 
     /** Records a request that was answered whole. */
@@ -39,6 +53,29 @@
         control.post(() -> accounts.record(caller, CallerUse::plusRefused));
     }
 
+    /** Records a refused model request with its reason. */
+    public void refused(UseKey key, RefusalReason reason) {
+        refused(key.caller());
+        control.post(() -> refusals.refused(key, reason, clock.elapsed()));
+    }
+
+    /** Returns a recorder of what an attempt uses. */
+    public AttemptUse attempt(AttemptId attempt, UseKey key) {
+        return new AttemptUse(this, attempt, key);
+    }
+
+    /** Gives whose requests filled {@code server}, which serves {@code service}. */
+    public CompletableFuture<TopReport> top(ServerId server, ServiceId service) {
+        return control.ask(() -> {
+            Duration now = clock.elapsed();
+            return TopReport.of(service, servers.report(server, now), refusals.report(service, now));
+        });
+    }
+
+    void post(BiConsumer<ServerAccounts, Duration> change) {
+        control.post(() -> change.accept(servers, clock.elapsed()));
+    }
+
     /** Records a request whose caller went. */
     public void abandoned(CallerId caller, int outputTokens) {
         metrics.counter("requests.abandoned").inc();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptContext.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptContext.java
@@ -4,7 +4,9 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.engine.EngineDirectory;
 import org.mangoridge.engine.ModelEngine;
+import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.openai.ModelRequest;
+import org.mangoridge.routing.accounting.UseKey;
 import org.mangoridge.settings.deployment.Deployment;
 import org.mangoridge.settings.deployment.Server;
 import org.mangoridge.settings.deployment.Service;
@@ -14,6 +16,8 @@
  *
  * @param engines gives engines by address
  * @param cancels releases what attempts hold
+ * @param ledger records what attempts use
+ * @param key whose request it is
  * @param owner the run of the instance that answers the request
  * @param deployment the configuration that the request sees
  * @param service the service asked for
@@ -22,6 +26,8 @@
 record AttemptContext(
         EngineDirectory engines,
         CancelSender cancels,
+        AccountLedger ledger,
+        UseKey key,
         Owner owner,
         Deployment deployment,
         Service service,
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
@@ -14,6 +14,7 @@
 import org.mangoridge.engine.EngineMessages;
 import org.mangoridge.engine.ModelEngine;
 import org.mangoridge.engine.TokenStream;
+import org.mangoridge.entry.accounts.AttemptUse;
 import org.mangoridge.routing.AttemptOutcome;
 import org.mangoridge.routing.Placement;
 import org.mangoridge.routing.RoutingEvent;
@@ -29,6 +30,7 @@
     private final AttemptId attempt;
     private final Placement placement;
     private final Set<ServerId> touched = ConcurrentHashMap.newKeySet();
+    private final AttemptUse use;
     private volatile ServerId lost;
 
     AttemptStages(AttemptContext context, RoutingDriver driver, AttemptId attempt, Placement placement) {
@@ -36,6 +38,7 @@
         this.driver = driver;
         this.attempt = attempt;
         this.placement = placement;
+        this.use = context.ledger().attempt(attempt, context.key());
     }
 
     /** Returns the attempt's id. */
@@ -60,6 +63,11 @@
                 .flatMap(imported -> decode(generated, outputTokens));
     }
 
+    /** Notes that the decode server has ended the stream and released everything. */
+    void finished() {
+        use.slotReleased();
+    }
+
     /** Returns how long the stages may take. */
     StageLimits limits() {
         return placement.limits();
@@ -67,6 +75,7 @@
 
     /** Has whatever the attempt holds at its servers released and does not wait for it; idempotent. */
     void release() {
+        use.slotReleased();
         for (ServerId server : touched) {
             context.cancels().cancel(context.server(server).address(), attempt, server.equals(lost));
         }
@@ -85,7 +94,18 @@
                 context.request().promptTokens() + context.request().maxTokens(),
                 RESERVATION_TTL_MILLIS,
                 placement.priority());
-        return check(placement.decode(), engine(placement.decode()).reserve(message, limits().reserve()), outputTokens);
+        Result<EngineMessages.Reserved, EngineError> reserved =
+                engine(placement.decode()).reserve(message, limits().reserve());
+        switch (reserved) {
+            case Result.Ok<EngineMessages.Reserved, EngineError> ok ->
+                use.slotHeld(placement.decode(), ok.value().pieces());
+            case Result.Err<EngineMessages.Reserved, EngineError> err -> {
+                if (err.error() instanceof EngineError.Full) {
+                    touched.remove(placement.decode());
+                }
+            }
+        }
+        return check(placement.decode(), reserved, outputTokens);
     }
 
     private Result<EngineMessages.PrefillDone, AttemptOutcome.Failed> prefill(String generated, int outputTokens) {
@@ -101,6 +121,7 @@
                 placement.prefill(), engine(placement.prefill()).prefill(message, limits().prefill()), outputTokens);
         if (result.isOk()) {
             EngineMessages.PrefillDone done = result.value();
+            use.prefilled(placement.prefill(), done.promptTokens() - done.cachedTokens());
             driver.tell(new RoutingEvent.PrefillDone(attempt, done.promptTokens(), done.cachedTokens()));
         }
         return result;
@@ -112,7 +133,10 @@
         EngineMessages.ImportRequest message =
                 new EngineMessages.ImportRequest(attempt.toString(), prefilled.handle(), source);
         return switch (engine(placement.decode()).importKv(message, limits().transfer())) {
-            case Result.Ok<EngineMessages.Imported, EngineError> ok -> Result.ok(ok.value());
+            case Result.Ok<EngineMessages.Imported, EngineError> ok -> {
+                use.transferred(placement.decode(), ok.value().kvBytes());
+                yield Result.ok(ok.value());
+            }
             case Result.Err<EngineMessages.Imported, EngineError> err ->
                 Result.err(importFailed(err.error(), outputTokens));
         };
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/Generation.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/Generation.java
@@ -175,6 +175,7 @@
     private Step whole(TokenStream.End end) {
         stream.close();
         stream = null;
+        stages.finished();
         driver.tell(new RoutingEvent.AttemptEnded(stages.attempt(), new AttemptOutcome.Completed(outputTokens)));
         return new Whole(end.finish());
     }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
@@ -25,6 +25,7 @@
 import org.mangoridge.http.Json;
 import org.mangoridge.routing.RequestFacts;
 import org.mangoridge.routing.RoutingEvent;
+import org.mangoridge.routing.accounting.UseKey;
 import org.mangoridge.settings.deployment.Caller;
 import org.mangoridge.settings.deployment.CallerClass;
 import org.mangoridge.settings.deployment.Deployment;
@@ -77,6 +78,7 @@
     public WebReply handle(RequestId id, Caller caller, Deployment deployment, WebRequest web) {
         Result<ModelRequest, Refusal> parsed = ModelRequest.parse(web.path(), web.body());
         if (!parsed.isOk()) {
+            accounts.refused(caller.id());
             return refuse(id, caller, parsed.error());
         }
         ModelRequest request = parsed.value();
@@ -85,6 +87,7 @@
                 .filter(found -> found.kind() == ServiceKind.MODEL)
                 .orElse(null);
         if (service == null) {
+            accounts.refused(caller.id());
             return refuse(
                     id,
                     caller,
@@ -99,7 +102,10 @@
                 accounts.abandoned(caller.id(), 0);
                 yield new WebReply.Dropped();
             }
-            case Result.Err<RoutingDriver.Start, Refusal> err -> refuse(id, caller, err.error());
+            case Result.Err<RoutingDriver.Start, Refusal> err -> {
+                accounts.refused(key(facts), err.error().reason());
+                yield refuse(id, caller, err.error());
+            }
             case Result.Ok<RoutingDriver.Start, Refusal> ok ->
                 new Exchange(facts, request, deployment, service, web).answer(ok.value());
         };
@@ -144,8 +150,11 @@
         }
     }
 
+    private static UseKey key(RequestFacts facts) {
+        return new UseKey(facts.caller().id(), facts.callerClass().id(), facts.service());
+    }
+
     private WebReply refuse(RequestId id, Caller caller, Refusal refusal) {
-        accounts.refused(caller.id());
         EventLog.write(
                 LogEvent.REQUEST_REFUSED,
                 Field.of("request", id),
@@ -169,7 +178,8 @@
             this.facts = facts;
             this.request = request;
             this.web = web;
-            this.context = new AttemptContext(engines, cancels, owner, deployment, service, request);
+            this.context =
+                    new AttemptContext(engines, cancels, accounts, key(facts), owner, deployment, service, request);
             this.format = new AnswerFormat(
                     facts.id(), service.id(), request.chat(), clock.now().getEpochSecond());
         }
@@ -199,7 +209,10 @@
                     left(generation);
                     yield new WebReply.Dropped();
                 }
-                case Generation.GivenUp givenUp -> refuse(facts.id(), facts.caller(), givenUp.refusal());
+                case Generation.GivenUp givenUp -> {
+                    accounts.refused(key(facts), givenUp.refusal().reason());
+                    yield refuse(facts.id(), facts.caller(), givenUp.refusal());
+                }
             };
         }
 
@@ -227,7 +240,7 @@
                 return;
             }
             if (step instanceof Generation.GivenUp givenUp) {
-                accounts.refused(facts.caller().id());
+                accounts.refused(key(facts), givenUp.refusal().reason());
                 Refusal cut = Refusal.of(
                         givenUp.refusal().reason(),
                         Verdict.RAN,
--- /dev/null
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/accounting/HeavyHittersTest.java
@@ -0,0 +1,35 @@
+package org.mangoridge.routing.accounting;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HeavyHittersTest {
+
+    private static final int CAPACITY = 8;
+
+    @Property(tries = 200)
+    void weightsAreBoundedByTheStatedError(@ForAll @Size(max = 400) List<@IntRange(max = 40) Integer> keys) {
+        HeavyHitters<Integer, Long> summary = HeavyHitters.create(CAPACITY, Long::sum);
+        Map<Integer, Long> truth = new HashMap<>();
+        for (int key : keys) {
+            summary.add(key, key + 1L, key + 1L);
+            truth.merge(key, key + 1L, Long::sum);
+        }
+        assertThat(summary.entries().size()).isAtMost(CAPACITY);
+        for (HeavyHitters.Entry<Integer, Long> entry : summary.entries()) {
+            long weight = truth.remove(entry.key());
+            assertThat(entry.weight()).isAtLeast(weight);
+            assertThat(entry.weight() - entry.missedWeight()).isAtMost(weight);
+            assertThat(entry.amount()).isAtLeast(weight - entry.missedWeight());
+        }
+        truth.values().forEach(weight -> assertThat(weight).isAtMost(summary.largestDropped()));
+    }
+}
