Prefill where the prompt's prefix is cached, unless the queue there costs more

Cause: two in three prompts share long prefixes, and nothing sent them to the server that holds them; every prompt counted in full towards the prefill queue.

The forecast counts only uncached tokens, so that affinity is weighed against queue, link and zone in seconds; prompts prefill on a decode server of role both when that is cheaper. Calibration leaves wrong beliefs out.

--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/LoadPoller.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/LoadPoller.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -36,6 +39,7 @@
     private final ScheduledExecutorService timer;
     private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
     private final Set<Server> asked = new HashSet<>();
+    private final Map<Server, Long> lastCacheEvents = new ConcurrentHashMap<>();
 
     private LoadPoller(EngineDirectory engines, RoutingDriver driver, Clock clock, Supplier<Deployment> deployment) {
         this.engines = engines;
@@ -81,7 +85,9 @@
                     engines.engineAt(server.address()).load();
             if (report.isOk()) {
                 driver.tell(new RoutingEvent.LoadReported(server.id(), load(report.value())));
+                askCacheEvents(server);
             } else {
+                lastCacheEvents.remove(server);
                 driver.tell(new RoutingEvent.LoadReportMissed(server.id()));
                 EventLog.write(
                         LogEvent.LOAD_REPORT_FAILED,
@@ -95,6 +101,25 @@
         }
     }
 
+    /** Asks for the events after the last one seen; what a gap hides is forgotten by routing in time. */
+    private void askCacheEvents(Server server) {
+        if (!server.role().prefills()) {
+            return;
+        }
+        long after = lastCacheEvents.getOrDefault(server, 0L);
+        Result<List<EngineMessages.CacheEvent>, EngineError> events =
+                engines.engineAt(server.address()).cacheEvents(after);
+        if (!events.isOk() || events.value().isEmpty()) {
+            return;
+        }
+        List<RoutingEvent.CacheChange> changes = events.value().stream()
+                .map(event -> new RoutingEvent.CacheChange(event.prefix(), event.stored()))
+                .toList();
+        lastCacheEvents.put(
+                server, events.value().get(events.value().size() - 1).sequence());
+        driver.tell(new RoutingEvent.CacheChanged(server.id(), changes));
+    }
+
     private ServerLoad load(EngineMessages.LoadReport report) {
         Set<AttemptId> attempts = new HashSet<>();
         report.attempts().forEach(attempt -> attempts.add(AttemptId.parse(attempt)));
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
@@ -1,7 +1,6 @@
 package org.mangoridge.entry.model;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +12,7 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.prefix.PrefixHashes;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
@@ -122,7 +122,7 @@
                 service.id(),
                 request.promptTokens(),
                 request.maxTokens(),
-                List.of(),
+                PrefixHashes.of(request.prompt()),
                 now,
                 now.plus(service.timeout()));
     }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
@@ -74,18 +74,21 @@
     }
 
     /** Takes in that KV cache was computed. */
-    void prefillDone(TrackedRequest request, long nowNanos) {
+    void prefillDone(TrackedRequest request, int computedTokens, long nowNanos) {
         Candidate candidate = request.candidate();
         request.prefillDone(nowNanos);
         if (candidate.transfers()) {
             candidate.prefill().estimate().ended(request.attempt());
             candidate.prefill().health().succeeded();
         }
+        candidate.prefill().prefixes().used(request.facts().prefixes(), nowNanos);
+        double rate = candidate.prefill().estimate().load().prefillTokensPerSecond();
+        double uncached = (computedTokens - candidate.prefillTokens()) / Math.max(1, rate);
         candidate
                 .prefill()
                 .prefillCalibration()
                 .learn(
-                        request.plainPrefillSeconds() + PREFILL_OVERHEAD_SECONDS,
+                        request.plainPrefillSeconds() + uncached + PREFILL_OVERHEAD_SECONDS,
                         seconds(nowNanos - request.placedNanos()),
                         nowNanos);
     }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/BaselinePolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/BaselinePolicy.java
@@ -67,6 +67,7 @@
             case RoutingEvent.ServerLeaving leaving -> List.of();
             case RoutingEvent.PeerInFlight inFlight -> List.of();
             case RoutingEvent.PeerGone gone -> List.of();
+            case RoutingEvent.CacheChanged changed -> List.of();
             case RoutingEvent.Tick tick -> List.of();
         };
     }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
@@ -77,7 +77,7 @@
             case RoutingEvent.RequestAbandoned abandoned -> abandoned(abandoned.request(), nowNanos);
             case RoutingEvent.PrefillDone done ->
                 attempts.running(done.attempt()).ifPresent(request -> {
-                    attempts.prefillDone(request, nowNanos);
+                    attempts.prefillDone(request, done.promptTokens() - done.cachedTokens(), nowNanos);
                     dispatch(request.facts().service(), nowNanos, actions);
                 });
             case RoutingEvent.FirstTokenSent sent ->
@@ -89,8 +89,7 @@
                     dispatch(server.server().service(), nowNanos, actions);
                 });
             case RoutingEvent.LoadReportMissed missed ->
-                servers.find(missed.server())
-                        .ifPresent(server -> server.health().reportMissed());
+                servers.find(missed.server()).ifPresent(ServerState::reportMissed);
             case RoutingEvent.ServerLeaving leaving ->
                 servers.find(leaving.server())
                         .ifPresent(server -> server.health().leaves());
@@ -99,6 +98,8 @@
                         .ifPresent(server -> server.estimate().peer(peer.peer(), count, nowNanos)));
             case RoutingEvent.PeerGone gone ->
                 servers.all().forEach(server -> server.estimate().peerGone(gone.peer()));
+            case RoutingEvent.CacheChanged changed ->
+                servers.find(changed.server()).ifPresent(server -> server.cacheChanged(changed.changes(), nowNanos));
             case RoutingEvent.DeploymentAdopted adopted -> {
                 servers.adopt(adopted.deployment());
                 services.keySet()
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/PlacementSearch.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/PlacementSearch.java
@@ -133,7 +133,8 @@
     }
 
     private PrefillChoice prefillChoice(ServerState server, Query query, long nowNanos) {
-        int tokens = query.promptTokens();
+        int cached = server.prefixes().cachedTokens(query.facts().prefixes(), nowNanos);
+        int tokens = Math.max(1, query.promptTokens() - cached);
         double secondsPerToken = server.prefillCalibration().ratio(nowNanos)
                 / Math.max(1, server.estimate().load().prefillTokensPerSecond());
         double wait = server.estimate().prefillTokens(nowNanos) * secondsPerToken;
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/RoutingEvent.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/RoutingEvent.java
@@ -1,5 +1,6 @@
 package org.mangoridge.routing;
 
+import java.util.List;
 import java.util.Map;
 
 import org.mangoridge.core.id.AttemptId;
@@ -98,6 +99,27 @@
      */
     record PeerGone(InstanceId peer) implements RoutingEvent {}
 
+    /**
+     * A server told of changes of its prefix cache, late and with gaps.
+     *
+     * @param server the server
+     * @param changes the changes in their order
+     */
+    record CacheChanged(ServerId server, List<CacheChange> changes) implements RoutingEvent {
+
+        public CacheChanged {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /**
+     * One change of a prefix cache.
+     *
+     * @param prefix the hash of the prefix
+     * @param stored true when stored, false when evicted
+     */
+    record CacheChange(long prefix, boolean stored) {}
+
     /** Time passed. */
     record Tick() implements RoutingEvent {}
 }
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerState.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerState.java
@@ -1,5 +1,6 @@
 package org.mangoridge.routing;
 
+import java.util.List;
 import java.util.random.RandomGenerator;
 
 import org.mangoridge.core.id.ServerId;
@@ -12,6 +13,7 @@
     private final LoadEstimate estimate = new LoadEstimate();
     private final ServerHealth health;
     private final TokenPace pace = new TokenPace();
+    private final PrefixIndex prefixes = new PrefixIndex();
     private final Calibration prefillCalibration = new Calibration();
     private final Calibration transferCalibration = new Calibration();
     private Server server;
@@ -44,6 +46,10 @@
         return pace;
     }
 
+    PrefixIndex prefixes() {
+        return prefixes;
+    }
+
     Calibration prefillCalibration() {
         return prefillCalibration;
     }
@@ -66,6 +72,23 @@
         checkModel();
     }
 
+    /** Notes that a report was asked for in vain; a server that was away has lost its prefix cache. */
+    void reportMissed() {
+        health.reportMissed();
+        prefixes.clear();
+    }
+
+    /** Takes changes of the prefix cache in. */
+    void cacheChanged(List<RoutingEvent.CacheChange> changes, long nowNanos) {
+        for (RoutingEvent.CacheChange change : changes) {
+            if (change.stored()) {
+                prefixes.stored(change.prefix(), nowNanos);
+            } else {
+                prefixes.evicted(change.prefix());
+            }
+        }
+    }
+
     /** Tells whether the server said that it has the model of its service, and isn't leaving. */
     boolean isServing() {
         return rightModel && !health.isLeaving();
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/PlacementTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/PlacementTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -178,4 +179,42 @@
                         .decode())
                 .isEqualTo(ServerId.of("d-b"));
     }
+
+    @Test
+    void cachedPrefixIsWorthASpillUntilItsServerIsBusy() {
+        RoutingFixture fixture = twoZones(1);
+        List<Long> prefixes = LongStream.range(0, 12).boxed().toList();
+        fixture.tell(new RoutingEvent.CacheChanged(
+                ServerId.of("p-b"),
+                prefixes.stream()
+                        .map(prefix -> new RoutingEvent.CacheChange(prefix, true))
+                        .toList()));
+        assertThat(RoutingFixture.placed(fixture.send("counter", 3100, 8, prefixes))
+                        .placement()
+                        .prefill())
+                .isEqualTo(ServerId.of("p-b"));
+        fixture.prefillQueue("p-b", 6000);
+        assertThat(RoutingFixture.placed(fixture.send("counter", 3100, 8, prefixes))
+                        .placement()
+                        .prefill())
+                .isEqualTo(ServerId.of("p-a"));
+    }
+
+    @Test
+    void shortPromptIsPrefilledWhereItDecodesIfTheLinkIsSlow() {
+        RoutingFixture fixture = RoutingFixture.current(1)
+                .server("p-1", "prefill", "a")
+                .server("b-1", "both", "a")
+                .caller("counter", "counter", "counter")
+                .adopt();
+        fixture.prefillQueue("p-1", 3000);
+        RoutingAction.Place local = RoutingFixture.placed(fixture.send("counter", 30, 8));
+        assertThat(local.placement().transfers()).isFalse();
+        fixture.prefillQueue("p-1", 0);
+        fixture.prefillQueue("b-1", 3000);
+        assertThat(RoutingFixture.placed(fixture.send("counter", 2000, 8))
+                        .placement()
+                        .prefill())
+                .isEqualTo(ServerId.of("p-1"));
+    }
 }
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/RoutingFixture.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/RoutingFixture.java
@@ -169,10 +169,14 @@
 
     /** Sends a request and returns what was decided at once. */
     List<RoutingAction> send(String caller, int promptTokens, int maxTokens) {
-        return tell(new RoutingEvent.RequestArrived(facts(caller, promptTokens, maxTokens)));
+        return send(caller, promptTokens, maxTokens, List.of());
     }
 
-    RequestFacts facts(String caller, int promptTokens, int maxTokens) {
+    List<RoutingAction> send(String caller, int promptTokens, int maxTokens, List<Long> prefixes) {
+        return tell(new RoutingEvent.RequestArrived(facts(caller, promptTokens, maxTokens, prefixes)));
+    }
+
+    private RequestFacts facts(String caller, int promptTokens, int maxTokens, List<Long> prefixes) {
         Caller sender = deployment.caller(CallerId.of(caller)).orElseThrow();
         return new RequestFacts(
                 RequestId.of("entry-1-7-" + ++lastRequest),
@@ -181,7 +185,7 @@
                 ServiceId.of("drafts"),
                 promptTokens,
                 maxTokens,
-                List.of(),
+                prefixes,
                 now(),
                 now().plusSeconds(60));
     }
