--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/AttemptStages.java
@@ -10,6 +10,7 @@
 import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.verdict.AttemptProgress;
+import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.engine.EngineError;
 import org.mangoridge.engine.EngineMessages;
 import org.mangoridge.engine.ModelEngine;
@@ -32,6 +33,7 @@
     private final Set<ServerId> touched = ConcurrentHashMap.newKeySet();
     private final AttemptUse use;
     private volatile ServerId lost;
+    private Verdict verdict = Verdict.NOT_RUN;
 
     AttemptStages(AttemptContext context, RoutingDriver driver, AttemptId attempt, Placement placement) {
         this.context = context;
@@ -121,6 +123,7 @@
                 placement.prefill(), engine(placement.prefill()).prefill(message, limits().prefill()), outputTokens);
         if (result.isOk()) {
             EngineMessages.PrefillDone done = result.value();
+            verdict = Verdict.RAN;
             use.prefilled(placement.prefill(), done.promptTokens() - done.cachedTokens());
             driver.tell(new RoutingEvent.PrefillDone(attempt, done.promptTokens(), done.cachedTokens()));
         }
@@ -191,7 +194,7 @@
                 Field.of("attempt", attempt),
                 Field.of("server", server),
                 Field.of("detail", error.detail()));
-        return new AttemptOutcome.Failed(server, kind(error), error.verdict(), outputTokens);
+        return new AttemptOutcome.Failed(server, kind(error), error.verdict(), outputTokens).atLeast(verdict);
     }
 
     private static AttemptOutcome.FailureKind kind(EngineError error) {
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/Admission.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Admission.java
@@ -18,6 +18,7 @@
     private static final double PREFILL_KEPT_PER_LOAD = 2;
     private static final double TARGET_SHARE_PLANNED = 0.9;
     private static final double PATIENCE = 0.5;
+    private static final long DRAW_NANOS = Duration.ofMillis(500).toNanos();
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(30);
 
@@ -35,6 +36,8 @@
     private final InstanceCount instances;
     private final PlacementSearch search;
     private final RandomGenerator random;
+    private double drawn;
+    private long drawnNanos = Long.MIN_VALUE;
 
     Admission(
             ServerTable servers,
@@ -79,7 +82,7 @@
         for (ServerState server : servers.decode(facts.service(), nowNanos)) {
             slots += server.estimate().load().slots();
         }
-        double served = Math.max(0.1, slots / demand.slotSeconds() / instances.count());
+        double served = Math.max(0.1, slots / demand.urgentSlotSeconds() / instances.count());
         double overload = 1 + demand.refusedPerSecond(nowNanos) / served;
         double seconds = overload * (0.75 + 0.5 * random.nextDouble());
         Duration after = Duration.ofMillis((long) (seconds * 1000));
@@ -104,6 +107,10 @@
 
     private Decision decidePatient(
             TrackedRequest request, Demand demand, List<ServerState> prefill, List<ServerState> decode, long nowNanos) {
+        if (demand.patientInFlight()
+                >= Math.floor(PatientRoom.slots(demand, decode, instances.count(), nowNanos) + rounding(nowNanos))) {
+            return new NotNow(RefusalReason.NO_CAPACITY, "the slots are kept for requests that can't wait");
+        }
         RequestFacts facts = request.facts();
         boolean pressed =
                 request.ageSeconds(nowNanos) > seconds(facts.callerClass().maxWait()) * PATIENCE;
@@ -150,6 +157,22 @@
                 && shares.isExhausted(facts.caller().workspace(), (double) free / instances.count());
     }
 
+    /** Forecasts the seconds between starts of requests that can wait. */
+    double secondsPerPatientStart(RequestFacts facts, Demand demand, long nowNanos) {
+        List<ServerState> decode = servers.decode(facts.service(), nowNanos);
+        double slots = PatientRoom.slots(demand, decode, instances.count(), nowNanos);
+        return slots <= 0 ? 0 : demand.patientSlotSeconds() / slots;
+    }
+
+    /** Draws anew at intervals, so that instances with a part of a slot each use whole ones in turn. */
+    private double rounding(long nowNanos) {
+        if (drawnNanos == Long.MIN_VALUE || nowNanos - drawnNanos >= DRAW_NANOS) {
+            drawnNanos = nowNanos;
+            drawn = random.nextDouble();
+        }
+        return drawn;
+    }
+
     /** Returns the slots of each server that requests which can't wait may need before the next report. */
     private int slotsKept(Demand demand, List<ServerState> decode, long nowNanos) {
         if (decode.isEmpty()) {
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
@@ -33,7 +33,7 @@
     private static final int PATIENT_PRIORITY = 0;
     private static final int RESUME_PRIORITY = 20;
     private static final int HEADS_TRIED = 4;
-    private static final double HOPELESS_DOUBT = 2;
+    private static final double HOPELESS_DOUBT = 1.3;
     private static final double OUTPUT_TOKEN_COST = 0.1;
     private static final long UPKEEP_NANOS = Duration.ofMillis(500).toNanos();
     private static final long SHORTEST_BACKOFF_NANOS = Duration.ofMillis(20).toNanos();
@@ -77,7 +77,11 @@
             case RoutingEvent.RequestAbandoned abandoned -> abandoned(abandoned.request(), nowNanos);
             case RoutingEvent.PrefillDone done ->
                 attempts.running(done.attempt()).ifPresent(request -> {
-                    attempts.prefillDone(request, done.promptTokens() - done.cachedTokens(), nowNanos);
+                    int computed = done.promptTokens() - done.cachedTokens();
+                    attempts.prefillDone(request, computed, nowNanos);
+                    if (!request.facts().callerClass().canWait()) {
+                        service(request.facts().service()).demand().urgentPrefilled(computed, nowNanos);
+                    }
                     dispatch(request.facts().service(), nowNanos, actions);
                 });
             case RoutingEvent.FirstTokenSent sent ->
@@ -145,10 +149,13 @@
         TrackedRequest request = running.get();
         ServiceState service = service(request.facts().service());
         double heldSeconds = attempts.end(request, ended.outcome(), nowNanos);
+        service.demand().ended(request.facts().callerClass().canWait());
         if (ended.outcome() instanceof AttemptOutcome.Failed failed) {
             afterFailure(request, failed, nowNanos, actions);
         } else {
-            service.demand().slotHeld(heldSeconds);
+            if (ended.outcome() instanceof AttemptOutcome.Completed) {
+                service.demand().slotHeld(request.facts().callerClass().canWait(), heldSeconds);
+            }
             attempts.forget(request.facts().id());
         }
         dispatch(request.facts().service(), nowNanos, actions);
@@ -159,13 +166,17 @@
         int mostAttempts = request.outputTokens() > 0 ? MAX_ATTEMPTS_TO_RESUME : MAX_ATTEMPTS;
         if (request.attempt().number() >= mostAttempts || !budget.take()) {
             refuse(request, reason(failed), "the backend servers failed", nowNanos, actions);
-        } else if (request.failures() == 1) {
+        } else if (request.failures() == 1 || isHeldNever(request)) {
             retry(request, nowNanos, actions);
         } else {
             delay(request, nowNanos, actions);
         }
     }
 
+    private static boolean isHeldNever(TrackedRequest request) {
+        return request.outputTokens() == 0 && !request.facts().callerClass().canWait();
+    }
+
     private void retry(TrackedRequest request, long nowNanos, List<RoutingAction> actions) {
         if (nowNanos >= request.facts().deadline().toNanos()) {
             refuse(request, RefusalReason.DEADLINE, "the deadline passed", nowNanos, actions);
@@ -206,6 +217,9 @@
             service(request.facts().service()).queue().remove(id);
             if (request.isRunning()) {
                 attempts.end(request, new AttemptOutcome.CallerGone(request.outputTokens()), nowNanos);
+                service(request.facts().service())
+                        .demand()
+                        .ended(request.facts().callerClass().canWait());
             }
             attempts.forget(id);
         });
@@ -267,7 +281,9 @@
                 : facts.callerClass().firstToken();
         long limit = Math.min(
                 facts.arrived().plus(longest).toNanos(), facts.deadline().toNanos());
-        double wait = service.queue().waitSeconds(facts.caller().workspace(), nowNanos);
+        double pace =
+                facts.callerClass().canWait() ? admission.secondsPerPatientStart(facts, service.demand(), nowNanos) : 0;
+        double wait = service.queue().waitSeconds(facts.caller().workspace(), pace, nowNanos);
         if (wait > (limit - nowNanos) / NANOS_PER_SECOND) {
             refuse(request, RefusalReason.NO_CAPACITY, "the queue is longer than the wait allowed", nowNanos, actions);
             return;
@@ -289,6 +305,9 @@
 
     private void start(TrackedRequest request, Candidate candidate, long nowNanos, List<RoutingAction> actions) {
         AttemptId attempt = attempts.start(request, candidate, nowNanos);
+        service(request.facts().service())
+                .demand()
+                .started(request.facts().callerClass().canWait());
         int priority = priority(request);
         actions.add(new RoutingAction.Place(
                 attempt,
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/Demand.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Demand.java
@@ -3,22 +3,29 @@
 /** What arrives at this instance for one service, and how long its attempts hold a slot. */
 final class Demand {
 
-    private static final double WINDOW_SECONDS = 5;
-    private static final double INITIAL_SLOT_SECONDS = 4;
+    private static final double WINDOW_SECONDS = 8;
+    private static final double INITIAL_SLOT_SECONDS = 3;
     private static final double WEIGHT_OF_NEWEST = 0.05;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Rate urgentRequests = new Rate(WINDOW_SECONDS);
     private final Rate urgentPrefillTokens = new Rate(WINDOW_SECONDS);
     private final Rate refused = new Rate(WINDOW_SECONDS);
-    private final Average slotSeconds = new Average(INITIAL_SLOT_SECONDS, WEIGHT_OF_NEWEST);
+    private final Average urgentSlotSeconds = new Average(INITIAL_SLOT_SECONDS, WEIGHT_OF_NEWEST);
+    private final Average patientSlotSeconds = new Average(INITIAL_SLOT_SECONDS, WEIGHT_OF_NEWEST);
     private double tightestFirstTokenSeconds = Double.MAX_VALUE;
+    private int patientInFlight;
 
     /** Counts a request that can't wait. */
     void urgentArrived(RequestFacts facts, long nowNanos) {
         urgentRequests.add(1, nowNanos);
-        urgentPrefillTokens.add(facts.promptTokens(), nowNanos);
         tightestFirstTokenSeconds = Math.min(
-                tightestFirstTokenSeconds, facts.callerClass().firstToken().toNanos() / 1e9);
+                tightestFirstTokenSeconds, facts.callerClass().firstToken().toNanos() / NANOS_PER_SECOND);
+    }
+
+    /** Counts prompt tokens that were computed for a request that can't wait. */
+    void urgentPrefilled(int tokens, long nowNanos) {
+        urgentPrefillTokens.add(tokens, nowNanos);
     }
 
     /** Counts a refused request. */
@@ -26,15 +33,35 @@
         refused.add(1, nowNanos);
     }
 
-    /** Learns how long an attempt held its slot. */
-    void slotHeld(double seconds) {
-        slotSeconds.add(seconds);
+    /** Counts an attempt that starts. */
+    void started(boolean patient) {
+        patientInFlight += patient ? 1 : 0;
+    }
+
+    /** Counts an attempt that ended. */
+    void ended(boolean patient) {
+        patientInFlight -= patient ? 1 : 0;
+    }
+
+    /** Learns how long a whole answer held its slot. */
+    void slotHeld(boolean patient, double seconds) {
+        (patient ? patientSlotSeconds : urgentSlotSeconds).add(seconds);
+    }
+
+    /** Returns how many attempts of requests that can wait run. */
+    int patientInFlight() {
+        return patientInFlight;
     }
 
     double urgentPerSecond(long nowNanos) {
         return urgentRequests.perSecond(nowNanos);
     }
 
+    /** Returns the slots that requests which can't wait would use if all were served. */
+    double urgentSlots(long nowNanos) {
+        return urgentPerSecond(nowNanos) * urgentSlotSeconds.value();
+    }
+
     double urgentPrefillTokensPerSecond(long nowNanos) {
         return urgentPrefillTokens.perSecond(nowNanos);
     }
@@ -43,8 +70,12 @@
         return refused.perSecond(nowNanos);
     }
 
-    double slotSeconds() {
-        return slotSeconds.value();
+    double urgentSlotSeconds() {
+        return urgentSlotSeconds.value();
+    }
+
+    double patientSlotSeconds() {
+        return patientSlotSeconds.value();
     }
 
     /** Returns the tightest first-token target of requests that can't wait. */
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/WaitingQueue.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/WaitingQueue.java
@@ -123,10 +123,10 @@
         return Optional.empty();
     }
 
-    /** Forecasts how long a new request of {@code workspace} would wait. */
-    double waitSeconds(WorkspaceId workspace, long nowNanos) {
+    /** Forecasts how long a new request of {@code workspace} would wait if starts are no closer than given. */
+    double waitSeconds(WorkspaceId workspace, double leastSecondsPerRequest, long nowNanos) {
         Line line = lines.get(workspace);
-        return secondsUntil(line == null ? 0 : line.waiting.size(), nowNanos);
+        return secondsUntil(line == null ? 0 : line.waiting.size(), leastSecondsPerRequest, nowNanos);
     }
 
     /** Takes out every request that can't start before its limit, allowing for a forecast wrong by {@code doubt}. */
@@ -137,7 +137,7 @@
             for (Iterator<Waiting> each = line.waiting.iterator(); each.hasNext(); ) {
                 Waiting waiting = each.next();
                 double remaining = (waiting.limitNanos() - nowNanos) / NANOS_PER_SECOND;
-                if (remaining <= 0 || secondsUntil(ahead, nowNanos) > remaining * doubt) {
+                if (remaining <= 0 || secondsUntil(ahead, 0, nowNanos) > remaining * doubt) {
                     each.remove();
                     size--;
                     hopeless.add(waiting);
@@ -153,11 +153,12 @@
         return hopeless;
     }
 
-    private double secondsUntil(int aheadInLine, long nowNanos) {
+    private double secondsUntil(int aheadInLine, double least, long nowNanos) {
         if (size == 0) {
             return 0;
         }
-        double pace = Math.max(secondsPerRequest.value(), (nowNanos - startedNanos) / NANOS_PER_SECOND);
+        double measured = Math.max(secondsPerRequest.value(), (nowNanos - startedNanos) / NANOS_PER_SECOND);
+        double pace = Math.max(measured, least);
         return pace * Math.min(size, (double) (aheadInLine + 1) * lines.size());
     }
 
