--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -100,7 +100,7 @@
         owner = new Owner(settings.id(), Incarnation.of(clock.now().toEpochMilli()));
         control = own(ControlLoop.start("control-" + settings.id()));
         transport = own(HttpTransport.create(CONNECT_TIMEOUT));
-        accounts = AccountLedger.create(control, metrics);
+        accounts = AccountLedger.create(control, metrics, clock);
         inFlight = InFlightCounter.around(policy);
         driver = RoutingDriver.create(control, clock, inFlight);
         engines = address -> HttpModelEngine.create(transport, address);
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.id.ServerId;
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
@@ -142,6 +143,7 @@
                                 peerStatus()));
             case "GET /peers" -> WebReply.json(200, peerList(peers.get()));
             case "GET /accounts" -> WebReply.json(200, accountList());
+            case "GET /top" -> top(inForce, web);
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
     }
@@ -171,6 +173,16 @@
                 .toList();
     }
 
+    private WebReply top(ConfigInForce inForce, WebRequest web) {
+        return web.queryValue("server")
+                .filter(name -> !name.isBlank())
+                .flatMap(name -> inForce.deployment().server(ServerId.of(name)))
+                .map(server -> WebReply.json(
+                        200, accounts.top(server.id(), server.service()).join()))
+                .orElseGet(() -> WebReply.json(
+                        404, ErrorBody.of("unknown_server", "the configuration in force has no such server")));
+    }
+
     private List<Account> accountList() {
         return accounts.uses().join().stream().map(OperatorEndpoint::account).toList();
     }
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/CallPurpose.java
+++ b/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/CallPurpose.java
@@ -11,9 +11,7 @@
     /** The audit trail. */
     AUDIT(0.5, 50),
     /** What operators ask for, above all applies. */
-    OPERATORS(2, 400),
-    /** Leases of orders to engines. */
-    LEASES(2, 40);
+    OPERATORS(2, 400);
 
     private final double callsPerSecond;
     private final int burst;
