Give instances a view of each other: probes and gossip over Thrift

Cause: instances did not know of each other, so that a dead one's requests counted and were held for ever.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -37,6 +37,20 @@
     PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
     /** The platform answers again. */
     PLATFORM_BACK(502, Level.INFO, "platform back"),
+    /** Another instance is there, new or again. */
+    PEER_JOINED(601, Level.INFO, "peer joined"),
+    /** Another instance does not answer. */
+    PEER_SUSPECTED(602, Level.INFO, "peer suspected"),
+    /** A run of another instance is gone. */
+    PEER_GONE(603, Level.WARNING, "peer gone"),
+    /** A connection between instances failed. */
+    PEER_CONNECTION_FAILED(604, Level.WARNING, "peer connection failed"),
+    /** A later run of this instance is in use. */
+    INSTANCE_SUPERSEDED(605, Level.SEVERE, "instance superseded"),
+    /** Work of a run that is gone was cancelled at a server. */
+    ORPHAN_CANCELLED(606, Level.WARNING, "orphaned attempt cancelled"),
+    /** Work of a run that is gone could not be listed or cancelled; it is tried again. */
+    ORPHAN_CANCEL_FAILED(607, Level.WARNING, "orphaned attempts not cancelled"),
     /** This instance holds the lease of a service's orders. */
     LEASE_TAKEN(801, Level.INFO, "lease taken"),
     /** This instance no longer holds a lease. */
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -12,6 +12,7 @@
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.Incarnation;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.net.HostPort;
@@ -30,9 +31,13 @@
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.model.RoutingDriver;
 import org.mangoridge.entry.orders.OrderLoop;
+import org.mangoridge.entry.peers.InFlightCounter;
+import org.mangoridge.entry.peers.PeerEvents;
+import org.mangoridge.entry.peers.PeerNode;
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.RoutingEvent;
@@ -53,6 +58,7 @@
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private final Owner owner;
     private volatile ConfigFollower follower;
+    private PeerNode peers;
     private WebServer callerServer;
     private WebServer operatorServer;
 
@@ -82,6 +88,7 @@
                 LogEvent.INSTANCE_STARTED,
                 Field.of("instance", owner),
                 Field.of("zone", settings.zone()),
+                Field.of("peers", instance.peerAddress()),
                 Field.of("callers", instance.callerAddress()),
                 Field.of("operators", instance.operatorAddress()));
         return instance;
@@ -92,6 +99,11 @@
         return callerServer.address();
     }
 
+    /** Returns the address that other instances connect to. */
+    public HostPort peerAddress() {
+        return peers.address();
+    }
+
     /** Returns the address that operators connect to. */
     public HostPort operatorAddress() {
         return operatorServer.address();
@@ -115,13 +127,18 @@
         HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
         MetricRegistry metrics = new MetricRegistry();
         AccountLedger accounts = AccountLedger.create(control, metrics);
-        RoutingDriver driver = RoutingDriver.create(control, clock, policy);
+        InFlightCounter counter = InFlightCounter.around(policy);
+        RoutingDriver driver = RoutingDriver.create(control, clock, counter);
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
         ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
-        follower = own(ConfigFollower.start(
-                ConfigRepository.create(store),
-                config -> driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()))));
+        peers = own(PeerNode.start(
+                settings, owner, control, clock, random, this::configNewerThan, counter, new PeerEvents(driver)));
+        peers.followList(store);
+        follower = own(ConfigFollower.start(ConfigRepository.create(store), config -> {
+            driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
+            peers.adopted(config.generation());
+        }));
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
                 .start(() -> config().deployment(), service -> true);
@@ -129,7 +146,7 @@
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random));
+                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random), peers::view);
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
@@ -147,6 +164,10 @@
                 settings.id().value());
     }
 
+    private PeerConfig configNewerThan(Generation known) {
+        return PeerConfig.nothingNewer(config().generation());
+    }
+
     private ConfigInForce config() {
         ConfigFollower current = follower;
         return current == null ? ConfigInForce.none() : current.inForce();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -9,7 +9,11 @@
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.metrics.PrometheusText;
+import org.mangoridge.peer.membership.Member;
+import org.mangoridge.peer.membership.PeerView;
+import org.mangoridge.peer.membership.Sighting;
 import org.mangoridge.routing.accounting.CallerUse;
+import org.mangoridge.settings.ini.Values;
 import org.mangoridge.web.ErrorBody;
 import org.mangoridge.web.WebHandler;
 import org.mangoridge.web.WebReply;
@@ -41,23 +45,54 @@
      */
     record Account(String caller, long served, long refused, long abandoned, long promptTokens, long outputTokens) {}
 
+    /**
+     * The other instances as this one knows them.
+     *
+     * @param isolated whether no peer answers although several were known
+     * @param peers one entry for each
+     */
+    record PeerList(boolean isolated, List<Peer> peers) {}
+
+    /**
+     * Another instance.
+     *
+     * @param instance its name
+     * @param incarnation its run
+     * @param zone its availability zone
+     * @param address where peers connect
+     * @param state its state as it tells it
+     * @param liveness what is believed of it
+     * @param generation the configuration that it had in force when last heard of
+     */
+    record Peer(
+            String instance,
+            long incarnation,
+            String zone,
+            String address,
+            String state,
+            String liveness,
+            long generation) {}
+
     private final Owner owner;
     private final Supplier<ConfigInForce> config;
     private final MetricRegistry metrics;
     private final AccountLedger accounts;
     private final ConfigEndpoint configEndpoint;
+    private final Supplier<PeerView> peers;
 
     OperatorEndpoint(
             Owner owner,
             Supplier<ConfigInForce> config,
             MetricRegistry metrics,
             AccountLedger accounts,
-            ConfigEndpoint configEndpoint) {
+            ConfigEndpoint configEndpoint,
+            Supplier<PeerView> peers) {
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
         this.accounts = accounts;
         this.configEndpoint = configEndpoint;
+        this.peers = peers;
     }
 
     @Override
@@ -79,11 +114,30 @@
                                 inForce.generation().value(),
                                 inForce.hash(),
                                 inForce.isAdopted()));
+            case "GET /peers" -> WebReply.json(200, peerList(peers.get()));
             case "GET /accounts" -> WebReply.json(200, accountList());
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
     }
 
+    private static PeerList peerList(PeerView view) {
+        return new PeerList(
+                view.isolated(),
+                view.others().stream().map(OperatorEndpoint::peer).toList());
+    }
+
+    private static Peer peer(Sighting sighting) {
+        Member member = sighting.member();
+        return new Peer(
+                member.id().value(),
+                member.incarnation().value(),
+                member.zone().value(),
+                member.address().toString(),
+                Values.choiceName(member.state()),
+                Values.choiceName(sighting.liveness()),
+                member.generation().value());
+    }
+
     private List<Account> accountList() {
         return accounts.uses().join().stream().map(OperatorEndpoint::account).toList();
     }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/control/ControlLoop.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/control/ControlLoop.java
@@ -41,7 +41,9 @@
             checkRoom();
             executor.execute(guarded(task));
         } catch (RejectedExecutionException e) {
-            EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("where", "control queue"));
+            if (!executor.isShutdown()) {
+                EventLog.write(LogEvent.INTERNAL_ERROR, e, Field.of("where", "control queue"));
+            }
         }
     }
 
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerEvents.java
@@ -0,0 +1,33 @@
+package org.mangoridge.entry.peers;
+
+import java.util.Map;
+
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.id.Owner;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.entry.model.RoutingDriver;
+import org.mangoridge.peer.membership.GoneReason;
+import org.mangoridge.routing.RoutingEvent;
+
+/**
+ * Tells routing what becomes of peers.
+ *
+ * @param driver runs routing
+ */
+public record PeerEvents(RoutingDriver driver) implements PeerListener {
+
+    @Override
+    public void gone(Owner owner, GoneReason reason) {
+        driver.tell(new RoutingEvent.PeerGone(owner.instance()));
+    }
+
+    @Override
+    public void counted(InstanceId peer, Map<ServerId, Integer> inFlight) {
+        driver.tell(new RoutingEvent.PeerInFlight(peer, inFlight));
+    }
+
+    @Override
+    public void superseded(Owner later) {
+        // the log tells operators; a later run takes nothing from this one that backend servers would not refuse
+    }
+}
--- /dev/null
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/membership/Rendezvous.java
@@ -0,0 +1,38 @@
+package org.mangoridge.peer.membership;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import org.mangoridge.core.id.InstanceId;
+
+/** Ranks instances for a key so that all who see the same members rank them alike, and few ranks change with one. */
+public final class Rendezvous {
+
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final long MIX_ONE = 0xbf58476d1ce4e5b9L;
+    private static final long MIX_TWO = 0x94d049bb133111ebL;
+
+    private Rendezvous() {}
+
+    /** Returns {@code members} with the one chosen for {@code key} first, then its substitutes in order. */
+    public static List<InstanceId> rank(String key, Collection<InstanceId> members) {
+        return members.stream()
+                .sorted(Comparator.comparingLong((InstanceId id) -> hash(key + '\n' + id.value()))
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    /** Returns a well-spread hash of {@code text}, the same on every machine. */
+    public static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        hash = (hash ^ (hash >>> 30)) * MIX_ONE;
+        hash = (hash ^ (hash >>> 27)) * MIX_TWO;
+        return hash ^ (hash >>> 31);
+    }
+}
--- /dev/null
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/rpc/PeerCodec.java
@@ -0,0 +1,109 @@
+package org.mangoridge.peer.rpc;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.Generation;
+import org.mangoridge.core.id.Incarnation;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.peer.membership.GossipMessage;
+import org.mangoridge.peer.membership.Liveness;
+import org.mangoridge.peer.membership.Member;
+import org.mangoridge.peer.membership.ServingState;
+import org.mangoridge.peer.membership.Sighting;
+import org.mangoridge.peer.thrift.Gossip;
+import org.mangoridge.peer.thrift.InstanceRecord;
+import org.mangoridge.peer.thrift.InstanceState;
+import org.mangoridge.peer.thrift.SlotCount;
+
+/** Translates messages to and from Thrift. */
+public final class PeerCodec {
+
+    private PeerCodec() {}
+
+    /** Returns {@code message} for the wire. */
+    public static Gossip encode(GossipMessage message) {
+        List<InstanceRecord> known =
+                message.known().stream().map(PeerCodec::encode).toList();
+        List<SlotCount> slots = message.inFlight().entrySet().stream()
+                .map(entry -> new SlotCount(entry.getKey().value(), entry.getValue()))
+                .toList();
+        return new Gossip(encode(message.sender()), known, slots, message.viewHash(), message.full());
+    }
+
+    /**
+     * Returns the message that came as {@code gossip}.
+     *
+     * @throws IllegalArgumentException if a value is out of range, such as an enum constant of a later version
+     */
+    public static GossipMessage decode(Gossip gossip) {
+        Map<ServerId, Integer> inFlight = new HashMap<>();
+        gossip.getSlots().forEach(slot -> inFlight.put(ServerId.of(slot.getServer()), slot.getInFlight()));
+        return new GossipMessage(
+                decode(gossip.getSender()),
+                gossip.getKnown().stream().map(PeerCodec::decode).toList(),
+                inFlight,
+                gossip.getViewHash(),
+                gossip.isFull());
+    }
+
+    private static InstanceRecord encode(Sighting sighting) {
+        Member member = sighting.member();
+        return new InstanceRecord(
+                member.id().value(),
+                member.incarnation().value(),
+                member.zone().value(),
+                member.address().toString(),
+                state(member.state()),
+                sighting.heartbeat(),
+                member.generation().value(),
+                liveness(sighting.liveness()));
+    }
+
+    private static Sighting decode(InstanceRecord instance) {
+        Member member = new Member(
+                InstanceId.of(instance.getId()),
+                Incarnation.of(instance.getIncarnation()),
+                AvailabilityZone.of(instance.getZone()),
+                HostPort.parse(instance.getPeerAddress()),
+                state(instance.getState()),
+                Generation.of(instance.getGeneration()));
+        return new Sighting(member, instance.getHeartbeat(), liveness(instance.getLiveness()));
+    }
+
+    private static InstanceState state(ServingState state) {
+        return switch (state) {
+            case SERVING -> InstanceState.SERVING;
+            case DRAINING -> InstanceState.DRAINING;
+            case STOPPED -> InstanceState.STOPPED;
+        };
+    }
+
+    private static ServingState state(InstanceState state) {
+        return switch (state) {
+            case SERVING -> ServingState.SERVING;
+            case DRAINING -> ServingState.DRAINING;
+            case STOPPED -> ServingState.STOPPED;
+        };
+    }
+
+    private static org.mangoridge.peer.thrift.Liveness liveness(Liveness liveness) {
+        return switch (liveness) {
+            case ALIVE -> org.mangoridge.peer.thrift.Liveness.ALIVE;
+            case SUSPECT -> org.mangoridge.peer.thrift.Liveness.SUSPECT;
+            case DEAD -> org.mangoridge.peer.thrift.Liveness.DEAD;
+        };
+    }
+
+    private static Liveness liveness(org.mangoridge.peer.thrift.Liveness liveness) {
+        return switch (liveness) {
+            case ALIVE -> Liveness.ALIVE;
+            case SUSPECT -> Liveness.SUSPECT;
+            case DEAD -> Liveness.DEAD;
+        };
+    }
+}
--- a/mangoridge-peer/src/main/thrift/peer.thrift
+++ b/mangoridge-peer/src/main/thrift/peer.thrift
@@ -13,7 +13,14 @@
   STOPPED = 3
 }
 
-/** What is known of one instance; a greater incarnation, then a greater heartbeat, is newer. */
+/** What the sender believes of an instance; SUSPECT and DEAD are withdrawn by a greater heartbeat. */
+enum Liveness {
+  ALIVE = 1,
+  SUSPECT = 2,
+  DEAD = 3
+}
+
+/** What is known of one instance; a greater incarnation, then a greater heartbeat, then a later liveness, is newer. */
 struct InstanceRecord {
   1: required string id
   2: required i64 incarnation
@@ -22,6 +29,7 @@
   5: required InstanceState state
   6: required i64 heartbeat
   7: required i64 generation
+  8: required Liveness liveness
 }
 
 /** The decode slots that one instance holds or has been granted at one server. */
@@ -30,11 +38,15 @@
   2: required i32 inFlight
 }
 
-/** A round of gossip: the sender's view, and what it learned since the last round. */
+/** A round of gossip: the sender itself, what it learned of others lately, and its own requests at each server. */
 struct Gossip {
   1: required InstanceRecord sender
   2: required list<InstanceRecord> known
   3: required list<SlotCount> slots
+  /** Equal at two instances that know the same members. */
+  4: required i64 viewHash
+  /** Whether {@code known} holds every member; the answer to such a message does too. */
+  5: required bool full
 }
 
 /** Asks for decode slots at a server from the instance that grants them. */
