Release what instances that are gone hold at servers

Cause: what a killed instance had reserved stayed held until the engine's own time limit; nobody else released it. A live, later or contradicting run keeps its work.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
@@ -63,6 +63,7 @@
                 SystemClock.instance(),
                 seeds);
         invocation.out().println("callers at " + instance.callerAddress());
+        invocation.out().println("peers at " + instance.peerAddress());
         invocation.out().println("operators at " + instance.operatorAddress());
         invocation.out().flush();
         Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -32,6 +32,7 @@
 import org.mangoridge.entry.model.RoutingDriver;
 import org.mangoridge.entry.orders.OrderLoop;
 import org.mangoridge.entry.peers.InFlightCounter;
+import org.mangoridge.entry.peers.OrphanSweeper;
 import org.mangoridge.entry.peers.PeerEvents;
 import org.mangoridge.entry.peers.PeerNode;
 import org.mangoridge.entry.plain.PlainRequestHandler;
@@ -51,6 +52,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration SWEEP_TICK = Duration.ofMillis(250);
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
     private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
@@ -132,8 +134,19 @@
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
         ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+        OrphanSweeper sweeper =
+                own(OrphanSweeper.create(control, clock, engines, () -> config().deployment(), () -> peers.view()));
         peers = own(PeerNode.start(
-                settings, owner, control, clock, random, this::configNewerThan, counter, new PeerEvents(driver)));
+                settings,
+                owner,
+                control,
+                clock,
+                random,
+                this::configNewerThan,
+                counter,
+                new PeerEvents(driver, sweeper)));
+        control.post(() -> sweeper.gone(formerRuns()));
+        control.every(SWEEP_TICK, sweeper::tick);
         peers.followList(store);
         follower = own(ConfigFollower.start(ConfigRepository.create(store), config -> {
             driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
@@ -164,6 +177,12 @@
                 settings.id().value());
     }
 
+    /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
+    private Owner formerRuns() {
+        long last = Math.max(0, owner.incarnation().value() - 1);
+        return new Owner(owner.instance(), Incarnation.of(last));
+    }
+
     private PeerConfig configNewerThan(Generation known) {
         return PeerConfig.nothingNewer(config().generation());
     }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerEvents.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerEvents.java
@@ -10,14 +10,21 @@
 import org.mangoridge.routing.RoutingEvent;
 
 /**
- * Tells routing what becomes of peers.
+ * Tells routing and the release of orphaned work what becomes of peers.
  *
  * @param driver runs routing
+ * @param sweeper releases orphaned work
  */
-public record PeerEvents(RoutingDriver driver) implements PeerListener {
+public record PeerEvents(RoutingDriver driver, OrphanSweeper sweeper) implements PeerListener {
+
+    @Override
+    public void joined(Owner owner) {
+        sweeper.joined(owner);
+    }
 
     @Override
     public void gone(Owner owner, GoneReason reason) {
+        sweeper.gone(owner);
         driver.tell(new RoutingEvent.PeerGone(owner.instance()));
     }
 
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerListener.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerListener.java
@@ -10,6 +10,9 @@
 /** Hears what becomes of other instances; called on the control thread and must not block. */
 public interface PeerListener {
 
+    /** A run of a peer is there, new or again. */
+    void joined(Owner owner);
+
     /** A run of a peer is gone. */
     void gone(Owner owner, GoneReason reason);
 
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
@@ -177,12 +177,14 @@
         switch (action) {
             case MembershipAction.Probe probe -> start(() -> probe(probe));
             case MembershipAction.Answer answer -> {}
-            case MembershipAction.Joined joined ->
+            case MembershipAction.Joined joined -> {
+                listener.joined(joined.member().owner());
                 EventLog.write(
                         LogEvent.PEER_JOINED,
                         Field.of("peer", joined.member().owner()),
                         Field.of("zone", joined.member().zone()),
                         Field.of("address", joined.member().address()));
+            }
             case MembershipAction.Suspected suspected ->
                 EventLog.write(LogEvent.PEER_SUSPECTED, Field.of("peer", suspected.owner()));
             case MembershipAction.Gone gone -> {
@@ -250,7 +252,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 throw new IllegalStateException("the node is closing", e);
-            } catch (ExecutionException | TimeoutException e) {
+            } catch (ExecutionException | TimeoutException | RejectedExecutionException e) {
                 throw new IllegalStateException("the control thread did not answer", e);
             }
         }
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/peers/PeerNodeTest.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/peers/PeerNodeTest.java
@@ -111,6 +111,9 @@
                 Duration.ZERO,
                 Map.of());
         PeerListener listener = new PeerListener() {
+            @Override
+            public void joined(Owner owner) {}
+
             @Override
             public void gone(Owner owner, GoneReason reason) {
                 gone.add(new Heard(id, owner, reason));
--- /dev/null
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/orphan/OrphanServer.java
@@ -0,0 +1,12 @@
+package org.mangoridge.peer.orphan;
+
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+
+/**
+ * A backend server that may hold something for an instance that is gone.
+ *
+ * @param id the server
+ * @param zone its availability zone
+ */
+public record OrphanServer(ServerId id, AvailabilityZone zone) {}
--- a/mangoridge-peer/src/main/java/org/mangoridge/peer/rpc/PeerServer.java
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/rpc/PeerServer.java
@@ -146,11 +146,12 @@
     private record Adapter(PeerHandler handler) implements Peer.Iface {
 
         @Override
-        public Gossip exchange(Gossip gossip) throws TTransportException {
+        public Gossip exchange(Gossip gossip) {
             try {
                 return PeerCodec.encode(handler.exchange(PeerCodec.decode(gossip)));
             } catch (IllegalArgumentException | IllegalStateException e) {
-                throw new TTransportException("no answer: " + e.getMessage(), e);
+                EventLog.write(LogEvent.PEER_CONNECTION_FAILED, Field.of("detail", e.getMessage()));
+                return null; // the peer gets an error; an exception would be logged by the library without bound
             }
         }
 
