Shut an instance down without cutting a request

Cause: SIGTERM closed every connection at once, and peers learned of it only by silence. Change: a pure state machine of phases; readiness fails first, then new requests are refused with a true not-run and Connection: close, requests in progress finish, peers are told, exit 0. The limit or a second signal ends what is left with a verdict. The web server counts requests until their answer is sent and their handler has returned. SIGTERM, SIGINT, POST /drain with an operator's token, and mangoridge drain. Rolling replacement of all under load is not measured here.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -16,6 +16,7 @@
 import org.mangoridge.cli.command.CheckCommand;
 import org.mangoridge.cli.command.Command;
 import org.mangoridge.cli.command.DiffCommand;
+import org.mangoridge.cli.command.DrainCommand;
 import org.mangoridge.cli.command.ExitCode;
 import org.mangoridge.cli.command.Invocation;
 import org.mangoridge.cli.command.KeyCommand;
@@ -51,6 +52,7 @@
                 new DiffCommand(),
                 new ApplyCommand(),
                 new StatusCommand(),
+                new DrainCommand(),
                 new AuditCommand(),
                 new CallCommand(),
                 new KeyCommand(),
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ServeCommand.java
@@ -6,17 +6,18 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 
 import org.apache.commons.cli.Options;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.entry.EntryInstance;
+import org.mangoridge.entry.lifecycle.DrainPhase;
 import org.mangoridge.routing.PolicyName;
 import org.mangoridge.routing.RoutingPolicies;
 import org.mangoridge.settings.InstanceSettings;
 import org.mangoridge.settings.InstanceSettingsParser;
 import org.mangoridge.settings.ini.Problem;
+import sun.misc.Signal;
 
 /** Runs an entry instance until it is told to stop. */
 public final class ServeCommand implements Command {
@@ -66,16 +67,21 @@
         invocation.out().println("peers at " + instance.peerAddress());
         invocation.out().println("operators at " + instance.operatorAddress());
         invocation.out().flush();
-        Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
-        awaitForever();
-        return ExitCode.DONE;
+        drainOnSignal(instance, "TERM");
+        drainOnSignal(instance, "INT");
+        boolean whole = instance.drain().ended().join();
+        instance.close();
+        return whole ? ExitCode.DONE : ExitCode.FAILED;
     }
 
-    private static void awaitForever() {
-        try {
-            new CountDownLatch(1).await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    /** The first signal shuts down once every request has finished, the next at once. */
+    private static void drainOnSignal(EntryInstance instance, String name) {
+        Signal.handle(new Signal(name), signal -> {
+            if (instance.drain().phase() == DrainPhase.SERVING) {
+                instance.drain().request("signal " + name);
+            } else {
+                instance.drain().hurry("signal " + name);
+            }
+        });
     }
 }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/CallerEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/CallerEndpoint.java
@@ -1,7 +1,6 @@
 package org.mangoridge.entry;
 
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.mangoridge.core.id.RequestId;
@@ -9,6 +8,7 @@
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.entry.auth.CallerAuthenticator;
 import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.lifecycle.DrainPhase;
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.openai.ModelRequest;
 import org.mangoridge.entry.plain.PlainRequestHandler;
@@ -25,27 +25,32 @@
 
     private final RequestIds ids;
     private final Supplier<ConfigInForce> config;
-    private final BooleanSupplier draining;
+    private final Supplier<DrainPhase> phase;
     private final ModelRequestHandler models;
     private final PlainRequestHandler plain;
 
     CallerEndpoint(
             RequestIds ids,
             Supplier<ConfigInForce> config,
-            BooleanSupplier draining,
+            Supplier<DrainPhase> phase,
             ModelRequestHandler models,
             PlainRequestHandler plain) {
         this.ids = ids;
         this.config = config;
-        this.draining = draining;
+        this.phase = phase;
         this.models = models;
         this.plain = plain;
     }
 
     @Override
     public WebReply handle(WebRequest web) {
+        WebReply reply = answer(web);
+        return phase.get() == DrainPhase.SERVING ? reply : reply.withHeader("Connection", "close");
+    }
+
+    private WebReply answer(WebRequest web) {
         RequestId id = ids.next();
-        if (draining.getAsBoolean()) {
+        if (!phase.get().takesRequests()) {
             return Replies.refused(id, Refusal.notRun(RefusalReason.DRAINING, "the instance is shutting down"));
         }
         ConfigInForce inForce = config.get();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -27,6 +27,9 @@
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.entry.lifecycle.Drain;
+import org.mangoridge.entry.lifecycle.DrainEndpoint;
+import org.mangoridge.entry.lifecycle.DrainState;
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.model.RoutingDriver;
@@ -38,6 +41,7 @@
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
+import org.mangoridge.peer.membership.ServingState;
 import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.http.HttpObjectStore;
@@ -61,7 +65,8 @@
     private final Owner owner;
     private volatile ConfigFollower follower;
     private PeerNode peers;
-    private WebServer callerServer;
+    private Drain drain;
+    private volatile WebServer callerServer;
     private WebServer operatorServer;
 
     private EntryInstance(Owner owner) {
@@ -111,6 +116,11 @@
         return operatorServer.address();
     }
 
+    /** Returns the instance's shutdown, which can be asked for and waited for. */
+    public Drain drain() {
+        return drain;
+    }
+
     /** Stops at once; requests in progress are cut. */
     @Override
     public void close() {
@@ -157,9 +167,22 @@
                 .start(() -> config().deployment(), service -> true);
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
-        CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
+        drain = Drain.create(
+                control,
+                clock,
+                DrainState.create(settings.drainWait(), settings.drainLimit()),
+                () -> callerServer == null ? 0 : callerServer.openRequests(),
+                new DrainEffects());
+        CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, drain::phase, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random), peers::view);
+                owner,
+                this::config,
+                metrics,
+                accounts,
+                configEndpoint(settings, store, clock, random),
+                peers::view,
+                drain::phase,
+                DrainEndpoint.create(drain, OperatorAuthenticator.of(settings.operators())));
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
@@ -177,6 +200,25 @@
                 settings.id().value());
     }
 
+    /** What a shutdown does here. */
+    private final class DrainEffects implements Drain.Effects {
+
+        @Override
+        public void tellDraining() {
+            peers.changeState(ServingState.DRAINING);
+        }
+
+        @Override
+        public void cutRequests() {
+            callerServer.interruptRequests();
+        }
+
+        @Override
+        public void tellStopped() {
+            peers.changeState(ServingState.STOPPED);
+        }
+    }
+
     /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
     private Owner formerRuns() {
         long last = Math.max(0, owner.incarnation().value() - 1);
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -8,6 +8,8 @@
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.lifecycle.DrainEndpoint;
+import org.mangoridge.entry.lifecycle.DrainPhase;
 import org.mangoridge.entry.metrics.PrometheusText;
 import org.mangoridge.peer.membership.Member;
 import org.mangoridge.peer.membership.PeerView;
@@ -79,6 +81,8 @@
     private final AccountLedger accounts;
     private final ConfigEndpoint configEndpoint;
     private final Supplier<PeerView> peers;
+    private final Supplier<DrainPhase> phase;
+    private final DrainEndpoint drain;
 
     OperatorEndpoint(
             Owner owner,
@@ -86,7 +90,11 @@
             MetricRegistry metrics,
             AccountLedger accounts,
             ConfigEndpoint configEndpoint,
-            Supplier<PeerView> peers) {
+            Supplier<PeerView> peers,
+            Supplier<DrainPhase> phase,
+            DrainEndpoint drain) {
+        this.phase = phase;
+        this.drain = drain;
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
@@ -100,10 +108,12 @@
         if (ConfigEndpoint.serves(web.path())) {
             return configEndpoint.handle(web);
         }
+        if (web.path().equals(DrainEndpoint.PATH)) {
+            return drain.handle(web);
+        }
         ConfigInForce inForce = config.get();
         return switch (web.method() + " " + web.path()) {
-            case "GET /ready" ->
-                inForce.isAdopted() ? WebReply.text(200, "ready\n") : WebReply.text(503, "no configuration yet\n");
+            case "GET /ready" -> ready(inForce);
             case "GET /metrics" -> WebReply.text(200, PrometheusText.of(metrics));
             case "GET /status" ->
                 WebReply.json(
@@ -120,6 +130,13 @@
         };
     }
 
+    private WebReply ready(ConfigInForce inForce) {
+        if (phase.get() != DrainPhase.SERVING) {
+            return WebReply.text(503, "shutting down\n");
+        }
+        return inForce.isAdopted() ? WebReply.text(200, "ready\n") : WebReply.text(503, "no configuration yet\n");
+    }
+
     private static PeerList peerList(PeerView view) {
         return new PeerList(
                 view.isolated(),
--- /dev/null
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/lifecycle/DrainEndpoint.java
@@ -0,0 +1,55 @@
+package org.mangoridge.entry.lifecycle;
+
+import java.util.Optional;
+
+import org.mangoridge.entry.auth.OperatorAuthenticator;
+import org.mangoridge.settings.ini.Values;
+import org.mangoridge.web.ErrorBody;
+import org.mangoridge.web.WebReply;
+import org.mangoridge.web.WebRequest;
+
+/** Lets operators shut the instance down and see how far that is. */
+public final class DrainEndpoint {
+
+    /** Where operators ask for a shutdown, and for its phase. */
+    public static final String PATH = "/drain";
+
+    /**
+     * How far a shutdown is.
+     *
+     * @param phase its phase
+     * @param openRequests the requests in progress
+     */
+    public record Progress(String phase, int openRequests) {}
+
+    private final Drain drain;
+    private final OperatorAuthenticator operators;
+
+    private DrainEndpoint(Drain drain, OperatorAuthenticator operators) {
+        this.drain = drain;
+        this.operators = operators;
+    }
+
+    /** Returns an endpoint for the given operators. */
+    public static DrainEndpoint create(Drain drain, OperatorAuthenticator operators) {
+        return new DrainEndpoint(drain, operators);
+    }
+
+    /** Answers a request of {@link #PATH}. */
+    public WebReply handle(WebRequest web) {
+        if (web.method().equals("POST")) {
+            Optional<String> operator = operators.authenticate(web.headers());
+            if (operator.isEmpty()) {
+                return WebReply.json(
+                        401, ErrorBody.of("bad_token", "the token is missing or unknown: Bearer NAME.SECRET"));
+            }
+            drain.request(operator.get());
+            return WebReply.json(202, progress());
+        }
+        return WebReply.json(200, progress());
+    }
+
+    private Progress progress() {
+        return new Progress(Values.choiceName(drain.phase()), drain.openRequests());
+    }
+}
--- a/mangoridge-peer/src/main/java/org/mangoridge/peer/membership/Membership.java
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/membership/Membership.java
@@ -85,7 +85,10 @@
                 listed.clear();
                 list.peers().stream().limit(MAX_CONTACTS).forEach(peer -> listed.put(peer.id(), peer.address()));
             }
-            case MembershipEvent.StateChanged changed -> renew(self.member().withState(changed.state()));
+            case MembershipEvent.StateChanged changed -> {
+                renew(self.member().withState(changed.state()));
+                tellAtOnce(now);
+            }
             case MembershipEvent.ConfigAdopted adopted ->
                 self = new Sighting(
                         self.member().withGeneration(adopted.generation()), self.heartbeat(), Liveness.ALIVE);
--- a/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -31,6 +32,7 @@
     private final int maxBodyBytes;
     private final WebHandler handler;
     private final ExecutorService threads;
+    private final OpenRequests open = new OpenRequests();
 
     RequestDispatcher(int maxBodyBytes, WebHandler handler, ExecutorService threads) {
         this.maxBodyBytes = maxBodyBytes;
@@ -38,18 +40,42 @@
         this.threads = threads;
     }
 
+    /** Returns how many requests have come whose answers are not yet sent whole. */
+    int openRequests() {
+        return open.count();
+    }
+
     @Override
     public void handle(Context ctx) {
+        OpenRequests.Ticket ticket = open.begin();
+        ctx.onClose(outcome -> ticket.sent());
         ConnectionState connection = watchConnection(ctx);
+        connection.onGone(ticket::closed);
         ctx.getRequest()
-                .getBody(maxBodyBytes, () -> refuseBody(ctx, connection))
+                .getBody(maxBodyBytes, () -> {
+                    ticket.handled();
+                    refuseBody(ctx, connection);
+                })
                 .then(body -> {
+                    ticket.started();
                     WebRequest request = request(ctx.getRequest(), body.getBytes(), connection);
-                    Promise.<Outgoing>async(down -> threads.execute(() -> answer(ctx, request, down)))
+                    Promise.<Outgoing>async(down -> start(() -> {
+                                answer(ctx, request, down);
+                                ticket.handled();
+                            }))
                             .then(outgoing -> send(ctx, outgoing));
                 });
     }
 
+    /** Runs a handler on a thread of its own, or here once handlers were interrupted for good and refuse at once. */
+    private void start(Runnable task) {
+        try {
+            threads.execute(task);
+        } catch (RejectedExecutionException e) {
+            task.run();
+        }
+    }
+
     private static ConnectionState watchConnection(Context ctx) {
         ConnectionState state = new ConnectionState();
         Channel channel = ctx.getDirectChannelAccess().getChannel();
@@ -95,10 +121,12 @@
         Response response = ctx.getResponse();
         switch (outgoing.reply()) {
             case WebReply.Whole whole -> {
+                closeIfAsked(ctx, whole.headers());
                 writeHead(response, whole.status(), whole.headers());
                 response.send(whole.body());
             }
             case WebReply.Streamed streamed -> {
+                closeIfAsked(ctx, streamed.headers());
                 writeHead(response, streamed.status(), streamed.headers());
                 response.sendStream(outgoing.stream());
             }
@@ -111,6 +139,13 @@
         ctx.getDirectChannelAccess().getChannel().close();
     }
 
+    /** Ends the connection after an answer that says so, which the server would else keep open. */
+    private static void closeIfAsked(Context ctx, Headers headers) {
+        if (headers.value("Connection").filter("close"::equalsIgnoreCase).isPresent()) {
+            ctx.onClose(outcome -> close(ctx));
+        }
+    }
+
     private static void writeHead(Response response, int status, Headers headers) {
         response.status(status);
         headers.asMap().forEach((name, value) -> response.getHeaders().set(name, value));
--- a/mangoridge-web/src/main/java/org/mangoridge/web/WebReply.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/WebReply.java
@@ -29,6 +29,16 @@
     /** No answer at all: the connection is closed. */
     record Dropped() implements WebReply {}
 
+    /** Returns this answer with another header; an answer that is dropped stays as it is. */
+    default WebReply withHeader(String name, String value) {
+        return switch (this) {
+            case Whole whole -> new Whole(whole.status(), whole.headers().with(name, value), whole.body());
+            case Streamed streamed ->
+                new Streamed(streamed.status(), streamed.headers().with(name, value), streamed.body());
+            case Dropped dropped -> dropped;
+        };
+    }
+
     /** Returns an answer with {@code message} as JSON. */
     static WebReply json(int status, Object message) {
         return json(status, Headers.empty(), message);
--- a/mangoridge-web/src/main/java/org/mangoridge/web/WebServer.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/WebServer.java
@@ -17,8 +17,10 @@
     private final RatpackServer server;
     private final ExecutorService threads;
     private final HostPort address;
+    private final RequestDispatcher dispatcher;
 
-    private WebServer(RatpackServer server, ExecutorService threads, HostPort address) {
+    private WebServer(RatpackServer server, ExecutorService threads, HostPort address, RequestDispatcher dispatcher) {
+        this.dispatcher = dispatcher;
         this.server = server;
         this.threads = threads;
         this.address = address;
@@ -43,7 +45,7 @@
                             .maxContentLength(maxBodyBytes)
                             .development(false))
                     .handlers(chain -> chain.all(dispatcher)));
-            return new WebServer(server, threads, bind.withPort(server.getBindPort()));
+            return new WebServer(server, threads, bind.withPort(server.getBindPort()), dispatcher);
         } catch (Exception e) {
             threads.shutdownNow();
             throw new IllegalStateException("can't listen on " + bind + ": " + e.getMessage(), e);
@@ -55,6 +57,16 @@
         return address;
     }
 
+    /** Returns how many requests have come whose answers are not yet sent whole. */
+    public int openRequests() {
+        return dispatcher.openRequests();
+    }
+
+    /** Interrupts the handlers of all requests in progress, which then answer as they see fit; none is taken after. */
+    public void interruptRequests() {
+        threads.shutdownNow();
+    }
+
     /** Stops listening and ends what is in progress. */
     @Override
     public void close() {
