--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
@@ -6,6 +6,10 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.engine.EngineMessages;
+import org.mangoridge.engine.ModelEngine;
+import org.mangoridge.engine.http.HttpModelEngine;
 import org.mangoridge.http.HttpLines;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -15,24 +19,32 @@
 class LostInstanceTest {
 
     private static final Duration FREED_BOUND = Duration.ofSeconds(10);
-    private static final int LONG_ANSWER_TOKENS = 1500;
+    private static final int LONG_MILLIS = 600_000;
     private static final int ANSWER_TOKENS = 150;
 
     @TempDir
     private Path folder;
 
+    /** An engine frees a stream whose connection broke by itself; a reservation waits for nobody to come back. */
     @Test
     void aKilledInstanceHoldsNothingAfterTheBound() throws Exception {
         try (ProcessFleet fleet = new ProcessFleet(folder, 3, "")) {
             ServeProcess victim = fleet.instances.get(0);
-            try (HttpLines one = fleet.stream(victim, LONG_ANSWER_TOKENS);
-                    HttpLines two = fleet.stream(victim, LONG_ANSWER_TOKENS)) {
-                fleet.awaitTrue("both hold slots", () -> fleet.engine.slotsUsed() == 2);
+            ModelEngine engine = HttpModelEngine.create(fleet.transport, fleet.engine.address());
+            long run = fleet.incarnation(victim);
+            long otherRun = fleet.incarnation(fleet.instances.get(1));
+            engine.reserve(new EngineMessages.ReserveRequest("lost.1", "entry-0", run, 100, LONG_MILLIS, 0));
+            engine.reserve(new EngineMessages.ReserveRequest("kept.1", "entry-0", run + 1, 100, LONG_MILLIS, 0));
+            engine.reserve(new EngineMessages.ReserveRequest("other.1", "entry-1", otherRun, 100, LONG_MILLIS, 0));
+            try (HttpLines stream = fleet.stream(victim, ANSWER_TOKENS)) {
+                fleet.awaitTrue("all hold slots", () -> fleet.engine.slotsUsed() == 4);
                 victim.signal("KILL");
-                Duration freed = fleet.awaitTrue("all is freed", () -> fleet.engine.slotsUsed() == 0);
+                Duration freed = fleet.awaitTrue("the dead run holds nothing", () -> fleet.engine.slotsUsed() == 2);
                 System.out.println("killed-instance freed after " + freed.toMillis() + " ms");
                 assertThat(freed).isLessThan(FREED_BOUND);
             }
+            assertThat(engine.held(InstanceId.of("entry-0")).value()).hasSize(1);
+            assertThat(engine.held(InstanceId.of("entry-1")).value()).hasSize(1);
         }
     }
 
--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
@@ -9,8 +9,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.mangoridge.config.ApplyId;
 import org.mangoridge.config.Publisher;
@@ -38,6 +40,8 @@
     private static final HostPort ANY_PORT = HostPort.parse("127.0.0.1:0");
     private static final String SECRET = "chalk-counter-secret";
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final long SEED = 1;
+    private static final Pattern INCARNATION = Pattern.compile("\"incarnation\":(\\d+)");
 
     final EngineStandIn engine;
     final List<ServeProcess> instances = new ArrayList<>();
@@ -56,8 +60,8 @@
         platform = own(PlatformStandIn.start(ANY_PORT));
         engine = own(EngineStandIn.start(ANY_PORT, EngineProfile.of("both", "chalk-llm", "1"), clock));
         ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
-        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new SplittableRandom(1)), clock)
-                .applyText(ApplyId.of("fleet"), "fleet", config());
+        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new Random(SEED)), clock)
+                .applyText(ApplyId.of("fleet-1"), "fleet", config());
         for (int i = 0; i < size; i++) {
             start("entry-" + i);
         }
@@ -107,6 +111,16 @@
         return transport.send(HttpCall.get(instance.operators().httpUri(path), TIMEOUT));
     }
 
+    /** Returns the run of an instance, as it tells operators. */
+    long incarnation(ServeProcess instance) {
+        Matcher found =
+                INCARNATION.matcher(operator(instance, "/status").value().text());
+        if (!found.find()) {
+            throw new IllegalStateException("no incarnation in the status");
+        }
+        return Long.parseLong(found.group(1));
+    }
+
     /** Asks until {@code condition} holds and returns how long that took. */
     Duration awaitTrue(String what, BooleanSupplier condition) {
         Duration began = clock.elapsed();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -33,6 +33,9 @@
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.entry.lifecycle.Drain;
+import org.mangoridge.entry.lifecycle.DrainEndpoint;
+import org.mangoridge.entry.lifecycle.DrainState;
 import org.mangoridge.entry.model.CancelSender;
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
@@ -50,6 +53,7 @@
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.peer.membership.Member;
 import org.mangoridge.peer.membership.Rendezvous;
+import org.mangoridge.peer.membership.ServingState;
 import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.budget.BudgetedStore;
@@ -68,6 +72,7 @@
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration SWEEP_TICK = Duration.ofMillis(250);
+    private static final Duration GIVE_BACK_TICK = Duration.ofMillis(100);
     private static final int LEASE_CANDIDATES = 2;
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
@@ -90,7 +95,9 @@
     private final AuditLog audit;
     private volatile ConfigFollower follower;
     private PeerNode peers;
-    private WebServer callerServer;
+    private OrderLoop orders;
+    private Drain drain;
+    private volatile WebServer callerServer;
     private WebServer operatorServer;
 
     private EntryInstance(InstanceSettings settings, RoutingPolicy policy, Clock clock, RandomGenerator random) {
@@ -154,6 +161,11 @@
         return operatorServer.address();
     }
 
+    /** Returns the instance's shutdown, which can be asked for and waited for. */
+    public Drain drain() {
+        return drain;
+    }
+
     /** Stops at once; requests in progress are cut. */
     @Override
     public void close() {
@@ -202,7 +214,7 @@
     private void startOrders() {
         OrderAudit orderAudit = TrailOrderAudit.create(audit, owner, clock);
         ObjectStore leases = storeFor(CallPurpose.LEASES);
-        own(OrderLoop.create(control, clock, owner, settings.zone(), leases, engines, orderAudit))
+        orders = own(OrderLoop.create(control, clock, owner, settings.zone(), leases, engines, orderAudit))
                 .start(() -> config().deployment(), this::isLeaseCandidate);
     }
 
@@ -212,9 +224,23 @@
         CancelSender cancels = own(CancelSender.create(engines));
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, cancels, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
-        CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
+        drain = Drain.create(
+                control,
+                clock,
+                DrainState.create(settings.drainWait(), settings.drainLimit()),
+                () -> callerServer == null ? 0 : callerServer.openRequests(),
+                new DrainEffects());
+        CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, drain::phase, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(), () -> follower, peers::view);
+                owner,
+                this::config,
+                metrics,
+                accounts,
+                configEndpoint(),
+                () -> follower,
+                peers::view,
+                drain::phase,
+                DrainEndpoint.create(drain, OperatorAuthenticator.of(settings.operators())));
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
@@ -236,6 +262,26 @@
         return BudgetedStore.of(store, budget, purpose, clock);
     }
 
+    /** What a shutdown does here. */
+    private final class DrainEffects implements Drain.Effects {
+
+        @Override
+        public void tellDraining() {
+            peers.changeState(ServingState.DRAINING);
+            control.every(GIVE_BACK_TICK, orders::giveBack);
+        }
+
+        @Override
+        public void cutRequests() {
+            callerServer.interruptRequests();
+        }
+
+        @Override
+        public void tellStopped() {
+            peers.changeState(ServingState.STOPPED);
+        }
+    }
+
     /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
     private Owner formerRuns() {
         long last = Math.max(0, owner.incarnation().value() - 1);
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -10,6 +10,8 @@
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.lifecycle.DrainEndpoint;
+import org.mangoridge.entry.lifecycle.DrainPhase;
 import org.mangoridge.entry.metrics.PrometheusText;
 import org.mangoridge.peer.membership.Member;
 import org.mangoridge.peer.membership.PeerView;
@@ -101,6 +103,8 @@
     private final ConfigEndpoint configEndpoint;
     private final Supplier<ConfigFollower> follower;
     private final Supplier<PeerView> peers;
+    private final Supplier<DrainPhase> phase;
+    private final DrainEndpoint drain;
 
     OperatorEndpoint(
             Owner owner,
@@ -109,7 +113,11 @@
             AccountLedger accounts,
             ConfigEndpoint configEndpoint,
             Supplier<ConfigFollower> follower,
-            Supplier<PeerView> peers) {
+            Supplier<PeerView> peers,
+            Supplier<DrainPhase> phase,
+            DrainEndpoint drain) {
+        this.phase = phase;
+        this.drain = drain;
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
@@ -124,10 +132,12 @@
         if (ConfigEndpoint.serves(web.path())) {
             return configEndpoint.handle(web);
         }
+        if (web.path().equals(DrainEndpoint.PATH)) {
+            return drain.handle(web);
+        }
         ConfigInForce inForce = config.get();
         return switch (web.method() + " " + web.path()) {
-            case "GET /ready" ->
-                inForce.isAdopted() ? WebReply.text(200, "ready\n") : WebReply.text(503, "no configuration yet\n");
+            case "GET /ready" -> ready(inForce);
             case "GET /metrics" -> WebReply.text(200, PrometheusText.of(metrics));
             case "GET /status" ->
                 WebReply.json(
@@ -148,6 +158,13 @@
         };
     }
 
+    private WebReply ready(ConfigInForce inForce) {
+        if (phase.get() != DrainPhase.SERVING) {
+            return WebReply.text(503, "shutting down\n");
+        }
+        return inForce.isAdopted() ? WebReply.text(200, "ready\n") : WebReply.text(503, "no configuration yet\n");
+    }
+
     private static PeerList peerList(PeerView view) {
         return new PeerList(
                 view.isolated(),
