--- /dev/null
+++ b/spec/claims.pml
@@ -0,0 +1,404 @@
+/*
+ * Calls that may not be repeated: ATTEMPTS attempts with one idempotency key, each at an instance of its own, over
+ * one claim object in the platform's store.
+ *
+ * Environment steps: crash of a holder at any step, pause (any interleaving), a lost answer of the platform, a write
+ * that lands late, a partition from the platform, a connection that breaks, a server that dies before it runs. Each
+ * but a pause spends one of FAULTS, so that faults stop.
+ *
+ * Macros that change the protocol:
+ *   WITH_RELEASE   a claim is released after a proven not-run (the protocol of the Java code)
+ *   WITH_START     a second write marks the start; a claim that was not started can be taken over
+ * Macros that break a rule begin with MUTANT_.
+ */
+#ifndef ATTEMPTS
+#define ATTEMPTS 3
+#endif
+#ifndef FAULTS
+#define FAULTS 2
+#endif
+/* Take-overs could go on for ever; the search is bounded by the version that they reach. */
+#define MAX_VERSION 8
+#define LAST (ATTEMPTS - 1)
+#define NOBODY ATTEMPTS
+
+mtype = { ABSENT, CLAIMED, STARTED, RECORDED, RELEASED };
+mtype = { IDLE, PENDING, WRITTEN, CONFLICT };
+mtype = { SILENT, ANSWER, NOT_RUN, MAY_HAVE_RUN, IN_PROGRESS };
+
+/* The claim object. Each applied write gives it a new version; 0 is the version of an absent object. */
+mtype object = ABSENT;
+byte objectBy = NOBODY;
+byte version = 0;
+
+/* Writes under way: one slot for the claim and one for what follows it, so that a late claim can meet a release. */
+typedef Write {
+    mtype phase = IDLE;
+    mtype value = ABSENT;
+    byte expected = 0;
+    byte got = 0
+};
+Write claimWrite[ATTEMPTS];
+Write nextWrite[ATTEMPTS];
+
+byte faults = FAULTS;
+bool dead[ATTEMPTS];
+bool sent[ATTEMPTS];
+bool answered[ATTEMPTS];
+bool cut[ATTEMPTS];
+bool overdue = false;
+
+/* What the properties speak of. */
+byte runs = 0;
+bool ran[ATTEMPTS];
+mtype told[ATTEMPTS] = SILENT;
+byte recordedBy = NOBODY;
+bool doubleRun = false;
+bool falseNotRun = false;
+bool otherOutcome = false;
+
+#define FAULT atomic { faults > 0 -> faults-- }
+#define CRASH atomic { i != LAST && faults > 0 -> faults-- }
+
+/* A search for one property leaves the others unchecked. */
+#if defined(ONLY_not_run_is_true) || defined(ONLY_recorded_outcome_only)
+#define CHECK_doubleRun skip
+#else
+#define CHECK_doubleRun assert(!doubleRun)
+#endif
+#if defined(ONLY_runs_at_most_once) || defined(ONLY_recorded_outcome_only)
+#define CHECK_falseNotRun skip
+#else
+#define CHECK_falseNotRun assert(!falseNotRun)
+#endif
+#if defined(ONLY_runs_at_most_once) || defined(ONLY_not_run_is_true)
+#define CHECK_otherOutcome skip
+#else
+#define CHECK_otherOutcome assert(!otherOutcome)
+#endif
+
+inline put(slot, newValue, condition) {
+    atomic {
+        slot.value = newValue;
+        slot.expected = condition;
+        slot.got = 0;
+        slot.phase = PENDING
+    }
+}
+
+inline apply(slot, writer) {
+    d_step {
+        slot.phase == PENDING ->
+        if
+#ifdef MUTANT_RELEASE_UNCONDITIONALLY
+        :: slot.expected == version || slot.value == RELEASED ->
+#else
+        :: slot.expected == version ->
+#endif
+            otherOutcome = (object == RECORDED);
+            CHECK_otherOutcome;
+            version++;
+            object = slot.value;
+            objectBy = writer;
+            slot.got = version;
+            slot.phase = WRITTEN;
+            if
+            :: object == RECORDED -> recordedBy = writer
+            :: else
+            fi
+        :: else -> slot.phase = CONFLICT
+        fi;
+        slot.value = ABSENT;
+        slot.expected = 0
+    }
+}
+
+inline tell(asker, word) {
+    atomic {
+        told[asker] = word;
+        falseNotRun = (word == NOT_RUN && ran[asker]);
+        CHECK_falseNotRun
+    }
+}
+
+/* Gives the answer of one attempt to another; once an outcome is recorded, no other may be given. */
+inline giveAnswer(asker, runner) {
+    atomic {
+        otherOutcome = (recordedBy != NOBODY && recordedBy != runner);
+        CHECK_otherOutcome;
+        told[asker] = ANSWER
+    }
+}
+
+proctype Attempt(byte i) {
+    byte mine = 0;
+    byte condition = 0;
+    mtype seen = ABSENT;
+    byte seenBy = NOBODY;
+
+claim:
+    put(claimWrite[i], CLAIMED, condition);
+#ifdef MUTANT_DISPATCH_BEFORE_CLAIMED
+    goto dispatch;
+#endif
+    if
+    :: claimWrite[i].phase == WRITTEN -> mine = claimWrite[i].got; goto claimed
+    :: claimWrite[i].phase == CONFLICT -> goto look
+    :: FAULT; goto look        /* the answer is lost or the write is late */
+    :: CRASH; goto die
+    fi;
+
+look:
+    /* a read that comes back, or the platform can't be reached */
+    if
+    :: d_step { seen = object; seenBy = objectBy; condition = version }
+    :: FAULT; goto giveUp
+    :: CRASH; goto die
+    fi;
+    if
+    :: seenBy == i && seen == CLAIMED -> mine = condition; goto claimed
+    :: seenBy == i && seen == RELEASED && claimWrite[i].phase == PENDING -> goto giveUp
+    :: seen == RECORDED -> giveAnswer(i, seenBy); goto done
+    :: seen == ABSENT && claimWrite[i].phase == PENDING -> goto reissue
+    :: seen == RELEASED && claimWrite[i].phase == PENDING -> goto reissue
+    :: (seen == ABSENT || seen == RELEASED) && claimWrite[i].phase != PENDING -> goto claim
+    :: seenBy != i && (seen == CLAIMED || seen == STARTED) -> goto foreign
+    :: seenBy == i && seen == STARTED -> tell(i, MAY_HAVE_RUN); goto done
+    fi;
+
+reissue:
+    /* the same write once more: its condition lets at most one of the two take effect */
+    if
+    :: claimWrite[i].phase == WRITTEN -> mine = claimWrite[i].got; goto claimed
+    :: claimWrite[i].phase == CONFLICT -> goto look
+    :: FAULT; goto giveUp
+    fi;
+
+foreign:
+#ifdef WITH_START
+    if
+#ifdef MUTANT_TAKE_OVER_STARTED
+    :: overdue -> goto claim
+#else
+    :: overdue && seen == CLAIMED && version < MAX_VERSION -> goto claim
+    :: overdue && seen == CLAIMED && version >= MAX_VERSION -> tell(i, MAY_HAVE_RUN); goto done
+#endif
+    :: overdue && seen == STARTED -> tell(i, MAY_HAVE_RUN); goto done
+    :: !overdue -> tell(i, IN_PROGRESS)
+    fi;
+#else
+#ifdef MUTANT_TAKE_OVER_UNFENCED
+    if
+    :: overdue -> goto claim
+    :: !overdue -> tell(i, IN_PROGRESS)
+    fi;
+#else
+    if
+    :: overdue -> tell(i, MAY_HAVE_RUN); goto done
+    :: !overdue -> tell(i, IN_PROGRESS)
+    fi;
+#endif
+#endif
+    /* only the last attempt comes back until it has a definite word */
+    if
+    :: i == LAST ->
+#ifdef MUTANT_NEVER_OVERDUE
+        false;
+#endif
+        goto look
+    :: else -> goto done
+    fi;
+
+claimed:
+    if
+    :: true
+    :: CRASH; goto die
+    fi;
+#ifdef WITH_START
+    put(nextWrite[i], STARTED, mine);
+#ifdef MUTANT_START_UNACKNOWLEDGED
+    goto dispatch;
+#endif
+    if
+    :: nextWrite[i].phase == WRITTEN -> mine = nextWrite[i].got
+    :: nextWrite[i].phase == CONFLICT -> condition = 0; goto look
+    :: FAULT; tell(i, NOT_RUN); goto done
+    :: CRASH; goto die
+    fi;
+#endif
+
+dispatch:
+    if
+    :: sent[i] = true
+    :: FAULT; goto refused                   /* no connection: nothing was sent */
+    :: CRASH; goto die
+    fi;
+
+await:
+    if
+    :: answered[i] -> goto record
+    :: cut[i] -> goto broken
+    :: FAULT; goto broken
+    :: CRASH; goto die
+    fi;
+
+broken:
+#ifdef MUTANT_RESEND
+    sent[i] = true;
+    goto await;
+#endif
+#ifdef MUTANT_NOT_RUN_ON_BROKEN
+    tell(i, NOT_RUN);
+    goto done;
+#endif
+#ifdef MUTANT_RELEASE_ON_BROKEN
+    goto release;
+#endif
+    tell(i, MAY_HAVE_RUN);
+    goto done;
+
+refused:
+#ifdef WITH_RELEASE
+    goto release;
+#endif
+    tell(i, NOT_RUN);
+    goto done;
+
+giveUp:
+    /* never dispatched, and never will be */
+    tell(i, NOT_RUN);
+#ifdef MUTANT_DISPATCH_AFTER_GIVING_UP
+    goto dispatch;
+#endif
+#ifdef WITH_RELEASE
+    goto void;
+#endif
+    goto done;
+
+release:
+    put(nextWrite[i], RELEASED, mine);
+    tell(i, NOT_RUN);
+    goto done;
+
+void:
+    /* in the background: take back a claim of ours, or bar one that is still to land */
+    atomic { seen = object; seenBy = objectBy; condition = version };
+    if
+    :: seenBy == i && seen == CLAIMED -> put(nextWrite[i], RELEASED, condition)
+    :: (seen == ABSENT || (seen == RELEASED && seenBy != i)) && claimWrite[i].phase == PENDING ->
+        put(nextWrite[i], RELEASED, condition)
+    :: else -> goto done
+    fi;
+    if
+    :: nextWrite[i].phase == WRITTEN -> goto done
+    :: nextWrite[i].phase == CONFLICT -> goto void
+    fi;
+
+record:
+    put(nextWrite[i], RECORDED, mine);
+    if
+    :: nextWrite[i].phase == WRITTEN
+    :: nextWrite[i].phase == CONFLICT
+    :: FAULT                                 /* the caller has the answer, the record may land late */
+    :: CRASH; goto die
+    fi;
+    giveAnswer(i, i);
+    goto done;
+
+die:
+    dead[i] = true;
+
+done:
+    atomic {
+        mine = 0;
+        condition = 0;
+        seen = ABSENT;
+        seenBy = NOBODY
+    }
+}
+
+/* The store applies each write at a time of its own choosing, or never. */
+proctype Platform() {
+end:
+    do
+    :: apply(claimWrite[0], 0)
+    :: apply(claimWrite[1], 1)
+    :: apply(nextWrite[0], 0)
+    :: apply(nextWrite[1], 1)
+#if ATTEMPTS > 2
+    :: apply(claimWrite[2], 2)
+    :: apply(nextWrite[2], 2)
+#endif
+    od
+}
+
+inline runOrder(n) {
+    d_step {
+        sent[n] -> sent[n] = false;
+        ran[n] = true;
+        runs++;
+        answered[n] = true;
+        doubleRun = (runs > 1);
+        CHECK_doubleRun;
+        falseNotRun = (told[n] == NOT_RUN);
+        CHECK_falseNotRun
+    }
+}
+
+/* The backend server runs what reaches it, possibly long after the connection broke, or dies first. */
+proctype Server() {
+end:
+    do
+    :: runOrder(0)
+    :: runOrder(1)
+    :: d_step { sent[0] && faults > 0 -> faults--; sent[0] = false; cut[0] = true }
+    :: d_step { sent[1] && faults > 0 -> faults--; sent[1] = false; cut[1] = true }
+#if ATTEMPTS > 2
+    :: runOrder(2)
+    :: d_step { sent[2] && faults > 0 -> faults--; sent[2] = false; cut[2] = true }
+#endif
+    od
+}
+
+/* Time passes: at any moment the claims become overdue. */
+proctype Clock() {
+    overdue = true
+}
+
+/* An operator settles a claim as not run once its holder has ended and nothing of it is on the way to the server. */
+proctype Operator() {
+    byte expected;
+    byte by;
+end:
+#ifdef MUTANT_SETTLE_EARLY
+    d_step { object == CLAIMED && overdue && !ran[objectBy] -> expected = version; by = objectBy };
+#else
+    d_step {
+        object == CLAIMED && dead[objectBy] && !sent[objectBy] && !ran[objectBy] ->
+        expected = version;
+        by = objectBy
+    };
+#endif
+    d_step {
+        if
+        :: version == expected -> version++; object = RELEASED; objectBy = by
+        :: else
+        fi
+    }
+}
+
+init {
+    atomic {
+        run Platform();
+        run Server();
+        run Clock();
+        run Operator();
+        run Attempt(0);
+        run Attempt(1);
+#if ATTEMPTS > 2
+        run Attempt(2)
+#endif
+    }
+}
+
+ltl retry_gets_a_word { <> (told[LAST] != SILENT && told[LAST] != IN_PROGRESS) }
