Decide calls that run at most once as a pure state machine over claims in the platform's store

Cause: a retry through the balancer at another instance ran the order again. Change: ClaimMachine with the steps of spec/claims.pml, its shell over the object store, budget, sweeping, settling, and its use for calls with an Idempotency-Key. Conclusion: two writes an order, no take-over, release only after a proven not-run.

--- /dev/null
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/protocol/ClaimWord.java
@@ -0,0 +1,66 @@
+package org.mangoridge.claims.protocol;
+
+import java.time.Instant;
+
+import org.mangoridge.core.verdict.AttemptProgress;
+
+/** What a caller is told about a call with an idempotency key. */
+public sealed interface ClaimWord {
+
+    /**
+     * The call ran in this attempt.
+     *
+     * @param answer the answer
+     */
+    record Fresh(RecordedAnswer answer) implements ClaimWord {}
+
+    /**
+     * The call ran earlier and its outcome is recorded.
+     *
+     * @param answer the recorded outcome
+     */
+    record Replayed(RecordedAnswer answer) implements ClaimWord {}
+
+    /**
+     * This attempt was not dispatched, or provably reached no server.
+     *
+     * @param cause why
+     */
+    record NotRun(Cause cause) implements ClaimWord {}
+
+    /**
+     * This attempt stopped after a byte of it may have reached a server.
+     *
+     * @param progress how far it came
+     */
+    record Broken(AttemptProgress progress) implements ClaimWord {}
+
+    /**
+     * Another attempt is in progress.
+     *
+     * @param until when it has ended at the latest
+     */
+    record InProgress(Instant until) implements ClaimWord {}
+
+    /**
+     * An earlier attempt ended without a known outcome.
+     *
+     * @param since when it was made
+     */
+    record OutcomeUnknown(Instant since) implements ClaimWord {}
+
+    /** The key was used with another request. */
+    record KeyReused() implements ClaimWord {}
+
+    /** Why an attempt did not run. */
+    enum Cause {
+        /** The claim could not be recorded. */
+        PLATFORM,
+        /** No server could be reached. */
+        SERVER,
+        /** The time for the call had passed before it was dispatched. */
+        DEADLINE,
+        /** An operator settled the attempt as not run. */
+        SETTLED
+    }
+}
--- /dev/null
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimRunner.java
@@ -0,0 +1,173 @@
+package org.mangoridge.claims.store;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.function.Supplier;
+
+import org.mangoridge.claims.protocol.Claim;
+import org.mangoridge.claims.protocol.ClaimAction;
+import org.mangoridge.claims.protocol.ClaimEvent;
+import org.mangoridge.claims.protocol.ClaimMachine;
+import org.mangoridge.claims.protocol.ClaimWord;
+import org.mangoridge.claims.protocol.SeenClaim;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.event.EventLog;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.platform.ObjectKey;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.Precondition;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.platform.StoredObject;
+import org.mangoridge.platform.WriteOutcome;
+
+/**
+ * Drives {@link ClaimMachine} against the platform's store.
+ *
+ * <p>What is left to write after the caller was told goes on in the background, for a bounded number of attempts at
+ * once; past it the claim is left as it stands, to be settled by an operator. Safe for use by several threads.
+ */
+public final class ClaimRunner implements AutoCloseable {
+
+    private static final int MAX_BACKGROUND = 1000;
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(200);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(10);
+
+    private final ObjectStore store;
+    private final Clock clock;
+    private final ExecutorService background = Executors.newVirtualThreadPerTaskExecutor();
+    private final Semaphore places = new Semaphore(MAX_BACKGROUND);
+
+    private ClaimRunner(ObjectStore store, Clock clock) {
+        this.store = store;
+        this.clock = clock;
+    }
+
+    /** Returns a runner over {@code store}. */
+    public static ClaimRunner create(ObjectStore store, Clock clock) {
+        return new ClaimRunner(store, clock);
+    }
+
+    /**
+     * Makes one attempt; blocks until the caller can be told.
+     *
+     * @param claim the claim of the attempt
+     * @param dispatch sends the call; called at most once, and only while the claim is held; gives {@link
+     *     ClaimEvent.Answered} or {@link ClaimEvent.Stopped}
+     */
+    public ClaimWord run(Claim claim, Supplier<ClaimEvent> dispatch) {
+        ObjectKey key = ClaimObjects.key(claim.service(), claim.caller(), claim.key());
+        ClaimMachine machine = ClaimMachine.of(claim);
+        ClaimAction action = machine.begin();
+        while (!(action instanceof ClaimAction.Tell)) {
+            action = machine.on(perform(key, action, dispatch), clock.now());
+        }
+        ClaimAction next = machine.on(new ClaimEvent.Told(), clock.now());
+        if (!(next instanceof ClaimAction.Done)) {
+            finishInBackground(claim, key, machine, next);
+        }
+        return ((ClaimAction.Tell) action).word();
+    }
+
+    /** Gives up what goes on in the background. */
+    @Override
+    public void close() {
+        background.shutdownNow();
+    }
+
+    private void finishInBackground(Claim claim, ObjectKey key, ClaimMachine machine, ClaimAction next) {
+        if (!places.tryAcquire()) {
+            unfinished(claim);
+            return;
+        }
+        CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        finish(claim, key, machine, next);
+                    } finally {
+                        places.release();
+                    }
+                },
+                background);
+    }
+
+    private void finish(Claim claim, ObjectKey key, ClaimMachine machine, ClaimAction next) {
+        ClaimAction action = next;
+        while (!(action instanceof ClaimAction.Done)) {
+            if (Thread.currentThread().isInterrupted()) {
+                unfinished(claim);
+                return;
+            }
+            action = machine.on(perform(key, action, ClaimRunner::neverDispatched), clock.now());
+        }
+        if (!((ClaimAction.Done) action).complete()) {
+            unfinished(claim);
+        }
+    }
+
+    private static ClaimEvent neverDispatched() {
+        throw new IllegalStateException("nothing is dispatched after the caller was told");
+    }
+
+    private static void unfinished(Claim claim) {
+        EventLog.write(
+                LogEvent.CLAIM_UNFINISHED,
+                Field.of("service", claim.service()),
+                Field.of("caller", claim.caller()),
+                Field.of("attempt", claim.attempt()));
+    }
+
+    private ClaimEvent perform(ObjectKey key, ClaimAction action, Supplier<ClaimEvent> dispatch) {
+        return switch (action) {
+            case ClaimAction.Write write -> write(key, write);
+            case ClaimAction.Look look -> look(key);
+            case ClaimAction.Dispatch send -> dispatch.get();
+            case ClaimAction.Pause pause -> pause(pause.tries());
+            case ClaimAction.Tell tell -> new ClaimEvent.Told();
+            case ClaimAction.Done done -> throw new IllegalStateException("nothing follows the end");
+        };
+    }
+
+    private ClaimEvent write(ObjectKey key, ClaimAction.Write write) {
+        Precondition condition =
+                write.expected() == 0 ? Precondition.absent() : Precondition.atVersion(write.expected());
+        return switch (store.write(key, ClaimObjects.encode(write.value()), condition)) {
+            case WriteOutcome.Written written -> new ClaimEvent.Written(written.version());
+            case WriteOutcome.Conflict conflict -> new ClaimEvent.Conflict();
+            case WriteOutcome.NotWritten notWritten -> new ClaimEvent.NotWritten();
+            case WriteOutcome.Unknown unknown -> new ClaimEvent.Unknown();
+        };
+    }
+
+    private ClaimEvent look(ObjectKey key) {
+        return switch (store.read(key)) {
+            case Result.Err<Optional<StoredObject>, StoreFailure> err -> new ClaimEvent.ReadFailed();
+            case Result.Ok<Optional<StoredObject>, StoreFailure> ok
+            when ok.value().isEmpty() -> new ClaimEvent.Read(Optional.empty());
+            case Result.Ok<Optional<StoredObject>, StoreFailure> ok ->
+                seen(ok.value().get());
+        };
+    }
+
+    private static ClaimEvent seen(StoredObject object) {
+        Result<Claim, String> claim = ClaimObjects.decode(object.value());
+        return claim.isOk()
+                ? new ClaimEvent.Read(Optional.of(new SeenClaim(object.version(), claim.value())))
+                : new ClaimEvent.ReadFailed();
+    }
+
+    private static ClaimEvent pause(int tries) {
+        Duration wait = FIRST_PAUSE.multipliedBy(1L << Math.min(tries - 1, 10));
+        try {
+            Thread.sleep(wait.compareTo(LONGEST_PAUSE) < 0 ? wait : LONGEST_PAUSE);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return new ClaimEvent.Resumed();
+    }
+}
--- /dev/null
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaim.java
@@ -0,0 +1,13 @@
+package org.mangoridge.claims.store;
+
+import org.mangoridge.claims.protocol.Claim;
+import org.mangoridge.platform.ObjectKey;
+
+/**
+ * A claim whose attempt ended without a known outcome.
+ *
+ * @param object the name of its object
+ * @param version the version of its object
+ * @param claim the claim
+ */
+public record StuckClaim(ObjectKey object, long version, Claim claim) {}
--- /dev/null
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaims.java
@@ -0,0 +1,85 @@
+package org.mangoridge.claims.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.mangoridge.claims.protocol.Claim;
+import org.mangoridge.claims.protocol.ClaimState;
+import org.mangoridge.claims.protocol.RecordedAnswer;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.Precondition;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.platform.StoredObject;
+import org.mangoridge.platform.WriteOutcome;
+
+/** Finds and settles stuck claims for operators; calls block. */
+public final class StuckClaims {
+
+    private static final int PAGE = 200;
+
+    private final ObjectStore store;
+    private final Clock clock;
+    private final SettlementAudit audit;
+
+    private StuckClaims(ObjectStore store, Clock clock, SettlementAudit audit) {
+        this.store = store;
+        this.clock = clock;
+        this.audit = audit;
+    }
+
+    /** Returns a view of the claims in {@code store}. */
+    public static StuckClaims create(ObjectStore store, Clock clock, SettlementAudit audit) {
+        return new StuckClaims(store, clock, audit);
+    }
+
+    /** Returns at most {@code limit} stuck claims of {@code service}. */
+    public Result<List<StuckClaim>, StoreFailure> list(ServiceId service, int limit) {
+        List<StuckClaim> found = new ArrayList<>();
+        String after = "";
+        while (found.size() < limit) {
+            Result<List<StoredObject>, StoreFailure> page = store.list(ClaimObjects.prefix(service), after, PAGE);
+            if (!page.isOk()) {
+                return Result.err(page.error());
+            }
+            page.value().stream().flatMap(this::stuck).forEach(found::add);
+            if (page.value().size() < PAGE) {
+                break;
+            }
+            after = page.value().get(PAGE - 1).key().path();
+        }
+        return Result.ok(List.copyOf(found.subList(0, Math.min(limit, found.size()))));
+    }
+
+    /**
+     * Settles a claim, after the audit holds it.
+     *
+     * <p>{@link Settlement#NOT_RUN} is right only if the run of the instance that holds the claim has ended, nothing of
+     * the attempt is left at a server, and the service's books show that it did not run.
+     */
+    public WriteOutcome settle(String operator, StuckClaim stuck, Settlement settlement) {
+        Result<Boolean, StoreFailure> noted = audit.settling(operator, stuck, settlement);
+        if (!noted.isOk()) {
+            return new WriteOutcome.NotWritten(
+                    "no audit entry: " + noted.error().detail());
+        }
+        Claim settled =
+                switch (settlement) {
+                    case RAN -> stuck.claim().recorded(RecordedAnswer.notKept());
+                    case NOT_RUN -> stuck.claim().released();
+                };
+        return store.write(stuck.object(), ClaimObjects.encode(settled), Precondition.atVersion(stuck.version()));
+    }
+
+    private java.util.stream.Stream<StuckClaim> stuck(StoredObject object) {
+        Result<Claim, String> claim = ClaimObjects.decode(object.value());
+        boolean isStuck = claim.isOk()
+                && claim.value().state() == ClaimState.CLAIMED
+                && !clock.now().isBefore(claim.value().overdueAt());
+        return isStuck
+                ? java.util.stream.Stream.of(new StuckClaim(object.key(), object.version(), claim.value()))
+                : java.util.stream.Stream.empty();
+    }
+}
--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -37,6 +37,8 @@
     PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
     /** The platform answers again. */
     PLATFORM_BACK(502, Level.INFO, "platform back"),
+    /** The end of an attempt could not be written; its claim may be stuck. */
+    CLAIM_UNFINISHED(701, Level.WARNING, "claim unfinished"),
     /** This instance holds the lease of a service's orders. */
     LEASE_TAKEN(801, Level.INFO, "lease taken"),
     /** This instance no longer holds a lease. */
--- a/mangoridge-core/src/main/java/org/mangoridge/core/verdict/RefusalReason.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/verdict/RefusalReason.java
@@ -34,6 +34,10 @@
     OUTCOME_UNKNOWN("outcome_unknown", 409),
     /** The platform can't record the claim that the request needs. */
     PLATFORM_UNAVAILABLE("platform_unavailable", 503),
+    /** The call ran and its answer is not held for retries. */
+    ANSWER_NOT_KEPT("answer_not_kept", 409),
+    /** The instance's share of claim writes is used up. */
+    CLAIM_LIMIT("claim_limit", 503),
     /** A defect of the system itself. */
     INTERNAL("internal_error", 500);
 
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -6,6 +6,9 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.claims.store.ClaimRunner;
+import org.mangoridge.claims.store.ClaimSweeper;
+import org.mangoridge.claims.store.TokenBucket;
 import org.mangoridge.config.ConfigRepository;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
@@ -30,6 +33,8 @@
 import org.mangoridge.entry.model.ModelRequestHandler;
 import org.mangoridge.entry.model.RoutingDriver;
 import org.mangoridge.entry.orders.OrderLoop;
+import org.mangoridge.entry.plain.ClaimUpkeep;
+import org.mangoridge.entry.plain.ClaimedCalls;
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
@@ -46,6 +51,10 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration TICK = Duration.ofMillis(20);
+    private static final int CLAIM_WRITES_PER_SECOND = 40;
+    private static final int CLAIM_WRITE_BURST = 80;
+    private static final int PLAIN_RETRIES_PER_SECOND = 5;
+    private static final int PLAIN_RETRY_BURST = 20;
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
     private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
@@ -126,7 +135,12 @@
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
                 .start(() -> config().deployment(), service -> true);
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
-        PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
+        PlainRequestHandler plain = PlainRequestHandler.create(
+                HttpPlainService.create(transport),
+                claimedCalls(store, clock),
+                TokenBucket.create(clock, PLAIN_RETRIES_PER_SECOND, PLAIN_RETRY_BURST),
+                random,
+                accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
                 owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random));
@@ -136,6 +150,12 @@
                 own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
     }
 
+    private ClaimedCalls claimedCalls(ObjectStore store, Clock clock) {
+        TokenBucket writes = TokenBucket.create(clock, CLAIM_WRITES_PER_SECOND, CLAIM_WRITE_BURST);
+        own(ClaimUpkeep.start(store, writes, ClaimSweeper.create(store, clock, writes)));
+        return ClaimedCalls.create(own(ClaimRunner.create(store, clock)), writes, owner, clock);
+    }
+
     private ConfigEndpoint configEndpoint(
             InstanceSettings settings, ObjectStore store, Clock clock, RandomGenerator random) {
         AuditLog refusals = AuditLog.create(store, AuditLog.REFUSALS, random);
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/plain/PlainRequestHandler.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/plain/PlainRequestHandler.java
@@ -1,14 +1,11 @@
 package org.mangoridge.entry.plain;
 
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import org.mangoridge.claims.store.TokenBucket;
 import org.mangoridge.core.Result;
-import org.mangoridge.core.event.EventLog;
-import org.mangoridge.core.event.Field;
-import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.id.ServiceId;
@@ -16,7 +13,6 @@
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.engine.EngineError;
-import org.mangoridge.engine.plain.PlainCall;
 import org.mangoridge.engine.plain.PlainService;
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.reply.Replies;
@@ -30,96 +26,111 @@
 import org.mangoridge.web.WebReply;
 import org.mangoridge.web.WebRequest;
 
-/** Passes calls to plain services, each at most once; called on the request's own thread. */
+/**
+ * Passes calls to plain services; called on the request's own thread.
+ *
+ * <p>A call that may not be repeated is sent once; with an idempotency key it is made under a claim, so that a retry at
+ * any instance gets the recorded answer.
+ */
 public final class PlainRequestHandler {
 
     /** Calls go to {@code /services/SERVICE/PATH}. */
     public static final String PREFIX = "/services/";
 
-    private static final List<String> PASSED_HEADERS = List.of("Content-Type", "Accept", "Idempotency-Key");
+    /** Names the call that a caller may send again. */
+    public static final String KEY_HEADER = "Idempotency-Key";
 
-    private final PlainService plain;
-    private final RandomGenerator random;
+    private static final String REPLAYED_HEADER = "Idempotency-Replayed";
+
+    private final ServerCalls calls;
+    private final ClaimedCalls claimed;
     private final AccountLedger accounts;
 
-    private PlainRequestHandler(PlainService plain, RandomGenerator random, AccountLedger accounts) {
-        this.plain = plain;
-        this.random = random;
+    private PlainRequestHandler(ServerCalls calls, ClaimedCalls claimed, AccountLedger accounts) {
+        this.calls = calls;
+        this.claimed = claimed;
         this.accounts = accounts;
     }
 
-    /** Returns a handler that chooses servers with {@code random}, which must be safe for several threads. */
-    public static PlainRequestHandler create(PlainService plain, RandomGenerator random, AccountLedger accounts) {
-        return new PlainRequestHandler(plain, random, accounts);
+    /**
+     * Returns a handler.
+     *
+     * @param claimed makes calls with an idempotency key
+     * @param retries the budget of calls that are sent to another server
+     * @param random chooses servers; safe for use by several threads
+     */
+    public static PlainRequestHandler create(
+            PlainService plain,
+            ClaimedCalls claimed,
+            TokenBucket retries,
+            RandomGenerator random,
+            AccountLedger accounts) {
+        return new PlainRequestHandler(new ServerCalls(plain, random, retries), claimed, accounts);
     }
 
     /** Answers one call of {@code caller} under one configuration. */
     public WebReply handle(RequestId id, Caller caller, Deployment deployment, WebRequest web) {
-        String rest = web.path().substring(PREFIX.length());
-        int slash = rest.indexOf('/');
-        String name = slash < 0 ? rest : rest.substring(0, slash);
-        String path = slash < 0 ? "/" : rest.substring(slash);
-        Service service = name.isBlank()
-                ? null
-                : deployment
-                        .service(ServiceId.of(name))
-                        .filter(found -> found.kind() == ServiceKind.PLAIN)
-                        .orElse(null);
-        if (service == null) {
+        PlainTarget target = PlainTarget.of(web);
+        Optional<Service> service = target.service().isBlank()
+                ? Optional.empty()
+                : deployment.service(ServiceId.of(target.service())).filter(found -> found.kind() == ServiceKind.PLAIN);
+        if (service.isEmpty()) {
             return refuse(
                     id,
                     caller,
-                    Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "there is no plain service named " + name));
+                    Refusal.notRun(
+                            RefusalReason.UNKNOWN_SERVICE, "there is no plain service named " + target.service()));
         }
-        List<Server> servers = deployment.serversOf(service.id());
+        List<Server> servers = deployment.serversOf(service.get().id());
         if (servers.isEmpty()) {
             return refuse(id, caller, Refusal.notRun(RefusalReason.NO_SERVER, "the service has no server"));
         }
-        Server server = servers.get(random.nextInt(servers.size()));
-        PlainCall call = new PlainCall(
-                AttemptId.first(id),
-                server.address(),
-                web.method(),
-                path,
-                passedHeaders(web.headers()),
-                web.body(),
-                service.timeout());
-        return switch (plain.call(call)) {
-            case Result.Ok<HttpAnswer, EngineError> ok -> answer(id, caller, ok.value());
-            case Result.Err<HttpAnswer, EngineError> err -> failed(id, caller, server, err.error());
+        return switch (call(id, caller, service.get(), servers, target, web)) {
+            case Result.Ok<ClaimedCalls.Served, Refusal> ok -> answer(id, caller, ok.value());
+            case Result.Err<ClaimedCalls.Served, Refusal> err -> refuse(id, caller, err.error());
         };
     }
 
-    private WebReply answer(RequestId id, Caller caller, HttpAnswer answer) {
-        accounts.served(caller.id(), 0, 0);
-        Headers headers = Replies.served(id);
-        String type = answer.headers().value("Content-Type").orElse("application/octet-stream");
-        return new WebReply.Whole(answer.status(), headers.with("Content-Type", type), answer.body());
+    private Result<ClaimedCalls.Served, Refusal> call(
+            RequestId id, Caller caller, Service service, List<Server> servers, PlainTarget target, WebRequest web) {
+        AttemptId attempt = AttemptId.first(id);
+        Optional<String> key = web.headers().value(KEY_HEADER);
+        if (key.isPresent() && !service.mayRepeat(web.method(), target.path())) {
+            return claimed.call(
+                    attempt,
+                    caller.id(),
+                    service,
+                    key.get(),
+                    target,
+                    web,
+                    () -> calls.send(attempt, service, servers, target, web));
+        }
+        return switch (calls.send(attempt, service, servers, target, web)) {
+            case Result.Ok<HttpAnswer, EngineError> ok -> Result.ok(ClaimedCalls.Served.of(ok.value()));
+            case Result.Err<HttpAnswer, EngineError> err -> Result.err(failed(err.error()));
+        };
     }
 
-    private WebReply failed(RequestId id, Caller caller, Server server, EngineError error) {
-        EventLog.write(
-                LogEvent.ATTEMPT_FAILED,
-                Field.of("request", id),
-                Field.of("server", server.id()),
-                Field.of("detail", error.detail()));
+    private static Refusal failed(EngineError error) {
         Verdict verdict = error.verdict();
         String detail = verdict == Verdict.NOT_RUN
                 ? "the backend server could not be reached"
                 : "the backend server's answer was lost";
-        return refuse(id, caller, Refusal.of(RefusalReason.SERVER_FAILED, verdict, detail));
+        return Refusal.of(RefusalReason.SERVER_FAILED, verdict, detail);
+    }
+
+    private WebReply answer(RequestId id, Caller caller, ClaimedCalls.Served served) {
+        accounts.served(caller.id(), 0, 0);
+        Headers headers =
+                Replies.served(id).with("Content-Type", served.answer().contentType());
+        return new WebReply.Whole(
+                served.answer().status(),
+                served.replayed() ? headers.with(REPLAYED_HEADER, "true") : headers,
+                served.answer().body());
     }
 
     private WebReply refuse(RequestId id, Caller caller, Refusal refusal) {
         accounts.refused(caller.id());
         return Replies.refused(id, refusal);
     }
-
-    private static Headers passedHeaders(Headers headers) {
-        Map<String, String> passed = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        for (String name : PASSED_HEADERS) {
-            headers.value(name).ifPresent(value -> passed.put(name, value));
-        }
-        return Headers.copyOf(passed);
-    }
 }
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Service.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Service.java
@@ -16,7 +16,7 @@
  * @param previousVersion a version that still serves while engines change over, empty if there is none
  * @param servingFloor the fewest engines of each kind in a zone that keep serving while others change
  * @param timeout the longest a call may take
- * @param idempotentMethods the HTTP methods that may be repeated
+ * @param idempotentMethods the calls that may be repeated, as {@code METHOD} or {@code METHOD /PATH-PREFIX}
  */
 public record Service(
         ServiceId id,
@@ -36,4 +36,13 @@
     public boolean accepts(String loaded) {
         return loaded.equals(version) || (!previousVersion.isEmpty() && loaded.equals(previousVersion));
     }
+
+    /** Tells whether a call of {@code method} at {@code path} may be repeated. */
+    public boolean mayRepeat(String method, String path) {
+        return idempotentMethods.stream().anyMatch(entry -> {
+            String[] words = entry.split("\\s+", 2);
+            return words[0].equals(method)
+                    && (words.length == 1 || path.equals(words[1]) || path.startsWith(words[1] + "/"));
+        });
+    }
 }
