--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
@@ -18,6 +18,7 @@
 /** What becomes of the requests of an instance that is killed or paused. */
 class LostInstanceTest {
 
+    private static final Duration CALL_LIMIT = Duration.ofSeconds(10);
     private static final Duration FREED_BOUND = Duration.ofSeconds(10);
     private static final int LONG_MILLIS = 600_000;
     private static final int ANSWER_TOKENS = 150;
@@ -33,9 +34,12 @@
             ModelEngine engine = HttpModelEngine.create(fleet.transport, fleet.engine.address());
             long run = fleet.incarnation(victim);
             long otherRun = fleet.incarnation(fleet.instances.get(1));
-            engine.reserve(new EngineMessages.ReserveRequest("lost.1", "entry-0", run, 100, LONG_MILLIS, 0));
-            engine.reserve(new EngineMessages.ReserveRequest("kept.1", "entry-0", run + 1, 100, LONG_MILLIS, 0));
-            engine.reserve(new EngineMessages.ReserveRequest("other.1", "entry-1", otherRun, 100, LONG_MILLIS, 0));
+            engine.reserve(
+                    new EngineMessages.ReserveRequest("lost.1", "entry-0", run, 100, LONG_MILLIS, 0), CALL_LIMIT);
+            engine.reserve(
+                    new EngineMessages.ReserveRequest("kept.1", "entry-0", run + 1, 100, LONG_MILLIS, 0), CALL_LIMIT);
+            engine.reserve(
+                    new EngineMessages.ReserveRequest("other.1", "entry-1", otherRun, 100, LONG_MILLIS, 0), CALL_LIMIT);
             try (HttpLines stream = fleet.stream(victim, ANSWER_TOKENS)) {
                 fleet.awaitTrue("all hold slots", () -> fleet.engine.slotsUsed() == 4);
                 victim.signal("KILL");
--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -51,6 +51,8 @@
     ORPHAN_CANCELLED(606, Level.WARNING, "orphaned attempt cancelled"),
     /** Work of a run that is gone could not be listed or cancelled; it is tried again. */
     ORPHAN_CANCEL_FAILED(607, Level.WARNING, "orphaned attempts not cancelled"),
+    /** The end of an attempt could not be written; its claim may be stuck. */
+    CLAIM_UNFINISHED(701, Level.WARNING, "claim unfinished"),
     /** This instance holds the lease of a service's orders. */
     LEASE_TAKEN(801, Level.INFO, "lease taken"),
     /** This instance no longer holds a lease. */
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -7,6 +7,9 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
+import org.mangoridge.claims.store.ClaimRunner;
+import org.mangoridge.claims.store.ClaimSweeper;
+import org.mangoridge.claims.store.TokenBucket;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.config.spread.AgentTiming;
@@ -48,6 +51,8 @@
 import org.mangoridge.entry.peers.PeerConfigs;
 import org.mangoridge.entry.peers.PeerEvents;
 import org.mangoridge.entry.peers.PeerNode;
+import org.mangoridge.entry.plain.ClaimUpkeep;
+import org.mangoridge.entry.plain.ClaimedCalls;
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
@@ -74,6 +79,9 @@
     private static final Duration SWEEP_TICK = Duration.ofMillis(250);
     private static final Duration GIVE_BACK_TICK = Duration.ofMillis(100);
     private static final int LEASE_CANDIDATES = 2;
+    private static final int CLAIM_WRITE_BURST = 80;
+    private static final int PLAIN_RETRIES_PER_SECOND = 5;
+    private static final int PLAIN_RETRY_BURST = 20;
     private static final int CALLER_EVENT_LOOPS = 2;
     private static final int OPERATOR_EVENT_LOOPS = 1;
     private static final int MAX_OPERATOR_BODY_BYTES = 16 << 20;
@@ -223,7 +231,12 @@
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         CancelSender cancels = own(CancelSender.create(engines));
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, cancels, owner, clock, accounts);
-        PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
+        PlainRequestHandler plain = PlainRequestHandler.create(
+                HttpPlainService.create(transport),
+                claimedCalls(),
+                TokenBucket.create(clock, PLAIN_RETRIES_PER_SECOND, PLAIN_RETRY_BURST),
+                random,
+                accounts);
         drain = Drain.create(
                 control,
                 clock,
@@ -247,6 +260,13 @@
                 own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
     }
 
+    /** Claims keep to a budget of their own, since their rate is that of orders, not of control. */
+    private ClaimedCalls claimedCalls() {
+        TokenBucket writes = TokenBucket.create(clock, CLAIM_WRITE_BURST, CLAIM_WRITE_BURST);
+        own(ClaimUpkeep.start(() -> peers.view().live().size(), writes, ClaimSweeper.create(store, clock, writes)));
+        return ClaimedCalls.create(own(ClaimRunner.create(store, clock)), writes, owner, clock);
+    }
+
     private ConfigEndpoint configEndpoint() {
         ObjectStore operatorStore = storeFor(CallPurpose.OPERATORS);
         AuditLog refusals = AuditLog.create(operatorStore, AuditLog.REFUSALS, random);
