--- a/mangoridge-engine/src/main/java/org/mangoridge/engine/plain/HttpPlainService.java
+++ b/mangoridge-engine/src/main/java/org/mangoridge/engine/plain/HttpPlainService.java
@@ -13,12 +13,15 @@
 import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpTransport;
 
-/** Passes calls over HTTP and drops an answer that names another attempt. */
+/** Passes calls over HTTP; drops an answer that names another attempt, or that may have been cut. */
 public final class HttpPlainService implements PlainService {
 
     /** The header that names the attempt, in the call and in its answer. */
     public static final String ATTEMPT_HEADER = "X-Attempt-Id";
 
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
     private final HttpTransport transport;
 
     private HttpPlainService(HttpTransport transport) {
@@ -49,10 +52,22 @@
     private static Result<HttpAnswer, EngineError> checkAttempt(PlainCall call, HttpAnswer answer) {
         Optional<String> named = answer.headers().value(ATTEMPT_HEADER);
         if (named.isEmpty() || named.get().equals(call.attempt().toString())) {
-            return Result.ok(answer);
+            return isProvablyWhole(call, answer)
+                    ? Result.ok(answer)
+                    : Result.err(new EngineError.Lost(
+                            AttemptProgress.ANSWER_PARTLY_RECEIVED, "the answer does not say how long it is"));
         }
         EventLog.write(
                 LogEvent.STALE_ANSWER_DROPPED, Field.of("attempt", call.attempt()), Field.of("named", named.get()));
         return Result.err(new EngineError.Lost(AttemptProgress.REQUEST_SENT, "answer of another attempt"));
     }
+
+    /** An answer that only the end of the connection ends may have been cut. */
+    private static boolean isProvablyWhole(PlainCall call, HttpAnswer answer) {
+        boolean bodyless =
+                call.method().equals("HEAD") || answer.status() == NO_CONTENT || answer.status() == NOT_MODIFIED;
+        return bodyless
+                || answer.headers().value("Content-Length").isPresent()
+                || answer.headers().value("Transfer-Encoding").isPresent();
+    }
 }
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/service/ServiceStandIn.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/service/ServiceStandIn.java
@@ -1,8 +1,11 @@
 package org.mangoridge.standin.service;
 
 import java.util.Map;
+import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.net.HostPort;
@@ -36,7 +39,11 @@
      */
     public record Placed(String order, int run) {}
 
+    private static final String OTHER_ATTEMPT = "another-request.1";
+
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final Queue<ServiceFault> faults = new ConcurrentLinkedQueue<>();
+    private final CountDownLatch goOn = new CountDownLatch(1);
     private WebServer server;
 
     private ServiceStandIn() {}
@@ -58,6 +65,16 @@
         return new TreeMap<>(runs);
     }
 
+    /** Shows {@code fault} with the next order that has none yet. */
+    public void failNext(ServiceFault fault) {
+        faults.add(fault);
+    }
+
+    /** Goes on with what is stalled or late. */
+    public void goOn() {
+        goOn.countDown();
+    }
+
     @Override
     public void close() {
         server.close();
@@ -67,7 +84,7 @@
     public WebReply handle(WebRequest request) {
         if (request.is("POST", "/orders")) {
             return switch (Json.read(request.body(), Order.class)) {
-                case Result.Ok<Order, String> ok when ok.value().order() != null -> place(request, ok.value());
+                case Result.Ok<Order, String> ok when ok.value().order() != null -> order(request, ok.value());
                 case Result.Ok<Order, String> ok ->
                     WebReply.json(400, ErrorBody.of("malformed", "\"order\" is missing"));
                 case Result.Err<Order, String> err -> WebReply.json(400, ErrorBody.of("malformed", err.error()));
@@ -80,6 +97,49 @@
         return WebReply.json(404, ErrorBody.of("not_found", "no such path"));
     }
 
+    private WebReply order(WebRequest request, Order order) {
+        ServiceFault fault = faults.poll();
+        if (fault == null) {
+            return place(request, order);
+        }
+        return switch (fault) {
+            case DIE_BEFORE_RUN -> new WebReply.Dropped();
+            case DIE_AFTER_RUN -> {
+                place(request, order);
+                yield new WebReply.Dropped();
+            }
+            case STALL -> {
+                awaitGoOn();
+                yield place(request, order);
+            }
+            case LATE_ANSWER -> {
+                WebReply late = place(request, order);
+                awaitGoOn();
+                yield late;
+            }
+            case TRUNCATED_ANSWER -> {
+                place(request, order);
+                yield new WebReply.Streamed(201, echo(request), sink -> {
+                    sink.writeEvent("{\"order\": ");
+                    sink.abort();
+                });
+            }
+            case CROSSED_ANSWER -> {
+                place(request, order);
+                Headers other = Headers.of(HttpPlainService.ATTEMPT_HEADER, OTHER_ATTEMPT);
+                yield WebReply.json(201, other, new Placed("order of another", 1));
+            }
+        };
+    }
+
+    private void awaitGoOn() {
+        try {
+            goOn.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private WebReply place(WebRequest request, Order order) {
         int run = runs.merge(order.order(), 1, Integer::sum);
         return WebReply.json(201, echo(request), new Placed(order.order(), run));
