List, settle and measure claims from the command line

Cause: a claim without an outcome stayed so until it was swept, and nobody could say what claims cost. Change: mangoridge claims list, settle and bench; a settlement is written to the audit trail 'claims' first, and one as not-run is refused while the holder's instance is listed, unless the operator says that it has ended.

--- /dev/null
+++ b/mangoridge-claims/src/test/java/org/mangoridge/claims/store/StuckClaimsTest.java
@@ -0,0 +1,144 @@
+package org.mangoridge.claims.store;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.mangoridge.claims.protocol.Claim;
+import org.mangoridge.claims.protocol.ClaimEvent;
+import org.mangoridge.claims.protocol.ClaimState;
+import org.mangoridge.claims.protocol.ClaimWord;
+import org.mangoridge.claims.protocol.RecordedAnswer;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AttemptId;
+import org.mangoridge.core.id.CallerId;
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.time.VirtualClock;
+import org.mangoridge.core.verdict.AttemptProgress;
+import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.platform.WriteOutcome;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class StuckClaimsTest {
+
+    private static final ServiceId SERVICE = ServiceId.of("orderdesk");
+    private static final Duration OVERDUE = Duration.ofMinutes(1);
+
+    private final VirtualClock clock = VirtualClock.create();
+    private final MemoryStore store = new MemoryStore();
+    private final List<String> audited = new ArrayList<>();
+    private final StuckClaims claims = StuckClaims.create(store, clock, (operator, stuck, settlement) -> {
+        audited.add(operator + " " + settlement);
+        return Result.ok(true);
+    });
+
+    @Test
+    void aClaimIsStuckOnceItsAttemptIsOver() {
+        attempt("first", broken());
+        assertThat(claims.list(SERVICE, 10).value()).isEmpty();
+        clock.advance(OVERDUE);
+        StuckClaim stuck = claims.list(SERVICE, 10).value().get(0);
+        assertThat(stuck.claim().caller()).isEqualTo(CallerId.of("nursery"));
+        assertThat(claims.list(ServiceId.of("other"), 10).value()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Settlement.class)
+    void aSettlementIsAuditedAndDecidesWhatARetryGets(Settlement settlement) {
+        attempt("first", broken());
+        clock.advance(OVERDUE);
+        StuckClaim stuck = claims.list(SERVICE, 10).value().get(0);
+        assertThat(claims.settle("ada", stuck, settlement)).isInstanceOf(WriteOutcome.Written.class);
+        assertThat(audited).containsExactly("ada " + settlement);
+        assertThat(claims.settle("ada", stuck, settlement)).isInstanceOf(WriteOutcome.Conflict.class);
+        ClaimWord retry = attempt("second", answered());
+        boolean ranAgain = retry instanceof ClaimWord.Fresh;
+        boolean wasToldItRan = retry instanceof ClaimWord.Replayed replayed
+                && !replayed.answer().kept();
+        assertThat(ranAgain).isEqualTo(settlement == Settlement.NOT_RUN);
+        assertThat(wasToldItRan).isEqualTo(settlement == Settlement.RAN);
+    }
+
+    @Test
+    void nothingIsSettledThatCantBeAudited() {
+        attempt("first", broken());
+        clock.advance(OVERDUE);
+        StuckClaims unaudited = StuckClaims.create(
+                store, clock, (operator, stuck, settlement) -> Result.err(new StoreFailure("the platform is out")));
+        StuckClaim stuck = claims.list(SERVICE, 10).value().get(0);
+        assertThat(unaudited.settle("ada", stuck, Settlement.RAN)).isInstanceOf(WriteOutcome.NotWritten.class);
+        assertThat(claims.list(SERVICE, 10).value()).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 23, 0", "true, 25, 1", "false, 25, 0", "false, 167, 0", "false, 169, 1"})
+    void claimsAreSweptAfterTheirRetention(boolean hasOutcome, int ageHours, int deleted) {
+        attempt("first", hasOutcome ? answered() : broken());
+        clock.advance(Duration.ofHours(ageHours));
+        ClaimSweeper sweeper = ClaimSweeper.create(store, clock, TokenBucket.create(clock, 1, 1));
+        assertThat(sweeper.sweepPage()).isEqualTo(deleted);
+        assertThat(store.size()).isEqualTo(1 - deleted);
+    }
+
+    @Test
+    void sweepingWaitsForTheBudget() {
+        attempt("first", answered());
+        clock.advance(Duration.ofDays(2));
+        TokenBucket spent = TokenBucket.create(clock, 1, 1);
+        spent.take(1);
+        ClaimSweeper sweeper = ClaimSweeper.create(store, clock, spent);
+        assertThat(sweeper.sweepPage()).isEqualTo(0);
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(sweeper.sweepPage()).isEqualTo(1);
+    }
+
+    @Test
+    void anAnswerThatIsTooLargeIsNotHeld() {
+        byte[] body = new byte[ClaimObjects.MAX_HELD_BODY_BYTES + 1];
+        assertThat(RecordedAnswer.whole(201, "text/plain", body)
+                        .within(ClaimObjects.MAX_HELD_BODY_BYTES)
+                        .kept())
+                .isFalse();
+    }
+
+    @Test
+    void theBucketSaysWhenToComeBack() {
+        TokenBucket bucket = TokenBucket.create(clock, 4, 2);
+        assertThat(bucket.take(2)).isEmpty();
+        assertThat(bucket.take(2)).hasValue(Duration.ofMillis(500));
+        clock.advance(Duration.ofMillis(500));
+        assertThat(bucket.take(2)).isEmpty();
+    }
+
+    private ClaimWord attempt(String request, ClaimEvent server) {
+        Claim claim = new Claim(
+                SERVICE,
+                CallerId.of("nursery"),
+                "key",
+                "fingerprint",
+                AttemptId.first(RequestId.of(request)),
+                "entry-1/1",
+                ClaimState.CLAIMED,
+                clock.now(),
+                clock.now().plus(OVERDUE),
+                Optional.empty());
+        try (ClaimRunner runner = ClaimRunner.create(store, clock)) {
+            return runner.run(claim, () -> server);
+        }
+    }
+
+    private static ClaimEvent broken() {
+        return new ClaimEvent.Stopped(AttemptProgress.REQUEST_SENT);
+    }
+
+    private static ClaimEvent answered() {
+        return new ClaimEvent.Answered(RecordedAnswer.whole(201, "text/plain", new byte[] {1}));
+    }
+}
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -15,6 +15,7 @@
 import org.mangoridge.cli.command.BenchCommand;
 import org.mangoridge.cli.command.CallCommand;
 import org.mangoridge.cli.command.CheckCommand;
+import org.mangoridge.cli.command.ClaimsCommand;
 import org.mangoridge.cli.command.Command;
 import org.mangoridge.cli.command.DiffCommand;
 import org.mangoridge.cli.command.DrainCommand;
@@ -58,6 +59,7 @@
                 new AuditCommand(),
                 new TopCommand(),
                 new CallCommand(),
+                new ClaimsCommand(),
                 new KeyCommand(),
                 new DemoCommand(),
                 new BenchCommand(),
