--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/AtMostOnceTest.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/AtMostOnceTest.java
@@ -82,7 +82,8 @@
     void anUnreachableServerGivesNotRunAndReleasesTheClaim() throws Exception {
         ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         reserved.close();
-        try (OrderDesk desk = new OrderDesk(HostPort.parse("127.0.0.1:" + reserved.getLocalPort()), 100)) {
+        try (OrderDesk desk =
+                new OrderDesk(HostPort.parse("127.0.0.1:" + reserved.getLocalPort()), 100, HaltPoint.none())) {
             WebReply.Whole first = desk.place(0, "nursery", "key", "order-1");
             WebReply.Whole second = desk.place(1, "nursery", "key", "order-1");
             assertThat(first.headers().value("X-Verdict")).hasValue("not-run");
@@ -157,7 +158,7 @@
 
     @Test
     void pastTheBudgetOfWritesAnEarlyNotRunSaysWhenToComeBack() throws Exception {
-        try (OrderDesk desk = new OrderDesk(null, 2)) {
+        try (OrderDesk desk = new OrderDesk(null, 2, HaltPoint.none())) {
             assertThat(desk.place(0, "nursery", "key", "order-1").status()).isEqualTo(201);
             WebReply.Whole refused = desk.place(0, "nursery", "key-2", "order-2");
             assertThat(text(refused)).contains("claim_limit");
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
@@ -71,15 +71,22 @@
     private final Instance[] instances;
 
     /** Starts everything; each instance may write {@code burst} claims' objects in all. */
-    OrderDesk(HostPort server, int burst) {
+    OrderDesk(HostPort server, int burst, HaltPoint point) {
         String address = (server == null ? orders.address() : server).toString();
         deployment =
                 DeploymentParser.parseText("test", CONFIG.formatted(address)).value();
-        instances = new Instance[] {new Instance("entry-1", burst), new Instance("entry-2", burst)};
+        instances =
+                new Instance[] {new Instance("entry-1", burst, point), new Instance("entry-2", burst, HaltPoint.none())
+                };
     }
 
     static OrderDesk start() {
-        return new OrderDesk(null, PLENTY);
+        return new OrderDesk(null, PLENTY, HaltPoint.none());
+    }
+
+    /** Starts everything; the first instance halts at {@code point}. */
+    static OrderDesk haltingAt(HaltPoint point) {
+        return new OrderDesk(null, PLENTY, point);
     }
 
     /** Places an order at one of the instances. */
@@ -113,11 +120,11 @@
         private final PlainRequestHandler handler;
         private final RequestIds ids;
 
-        Instance(String name, int burst) {
+        Instance(String name, int burst, HaltPoint point) {
             Owner owner = new Owner(InstanceId.of(name), Incarnation.of(1));
             HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
-            ClaimRunner runner = own(
-                    ClaimRunner.create(HttpObjectStore.create(transport, platform.address(), PLATFORM_TIMEOUT), clock));
+            ClaimRunner runner = own(ClaimRunner.create(
+                    point.around(HttpObjectStore.create(transport, platform.address(), PLATFORM_TIMEOUT)), clock));
             AccountLedger accounts = AccountLedger.create(own(ControlLoop.start(name)), new MetricRegistry());
             ids = RequestIds.of(owner);
             handler = PlainRequestHandler.create(
