Model the holder that is too late and the answer that came in part

Cause: the Java machine releases a claim whose time is over before dispatch, and records a call whose answer came in part; the model had neither step.

--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaims.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaims.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.mangoridge.claims.protocol.Claim;
 import org.mangoridge.claims.protocol.ClaimState;
@@ -73,13 +74,11 @@
         return store.write(stuck.object(), ClaimObjects.encode(settled), Precondition.atVersion(stuck.version()));
     }
 
-    private java.util.stream.Stream<StuckClaim> stuck(StoredObject object) {
+    private Stream<StuckClaim> stuck(StoredObject object) {
         Result<Claim, String> claim = ClaimObjects.decode(object.value());
         boolean isStuck = claim.isOk()
                 && claim.value().state() == ClaimState.CLAIMED
                 && !clock.now().isBefore(claim.value().overdueAt());
-        return isStuck
-                ? java.util.stream.Stream.of(new StuckClaim(object.key(), object.version(), claim.value()))
-                : java.util.stream.Stream.empty();
+        return isStuck ? Stream.of(new StuckClaim(object.key(), object.version(), claim.value())) : Stream.empty();
     }
 }
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -212,6 +212,9 @@
 claimed:
     if
     :: true
+#ifdef WITH_RELEASE
+    :: overdue -> goto release               /* paused for so long that the time for the call is over */
+#endif
     :: CRASH; goto die
     fi;
 #ifdef WITH_START
@@ -237,6 +240,7 @@
 await:
     if
     :: answered[i] -> goto record
+    :: atomic { answered[i] && faults > 0 -> faults-- }; goto recordPart
     :: cut[i] -> goto broken
     :: FAULT; goto broken
     :: CRASH; goto die
@@ -294,6 +298,12 @@
     :: nextWrite[i].phase == CONFLICT -> goto void
     fi;
 
+recordPart:
+    /* part of the answer came: the call ran, and that is recorded without the answer */
+    put(nextWrite[i], RECORDED, mine);
+    tell(i, MAY_HAVE_RUN);
+    goto done;
+
 record:
     put(nextWrite[i], RECORDED, mine);
     if
