--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
@@ -125,7 +125,7 @@
             HttpTransport transport = own(HttpTransport.create(CONNECT_TIMEOUT));
             ClaimRunner runner = own(ClaimRunner.create(
                     point.around(HttpObjectStore.create(transport, platform.address(), PLATFORM_TIMEOUT)), clock));
-            AccountLedger accounts = AccountLedger.create(own(ControlLoop.start(name)), new MetricRegistry());
+            AccountLedger accounts = AccountLedger.create(own(ControlLoop.start(name)), new MetricRegistry(), clock);
             ids = RequestIds.of(owner);
             handler = PlainRequestHandler.create(
                     HttpPlainService.create(transport),
