Keep slots for requests that can't wait, and never hold those after a full server

Cause: requests that can wait took every slot that was free beyond what could arrive between two reports. The baseline's refusals were all false not-run, since the verdict was that of the last stage alone.

A request that can't wait is placed again at once or refused.

--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
@@ -143,4 +143,16 @@
         }
         assertThat(used).contains(ServerId.of("d-1"));
     }
+
+    @Test
+    void requestThatCannotWaitIsNeverHeldAfterAFullServer() {
+        RoutingFixture fixture = fixture(4);
+        List<RoutingAction> actions = fixture.send("counter", 16, 8);
+        for (int i = 0; i < 4; i++) {
+            RoutingAction.Place place = RoutingFixture.placed(actions);
+            actions = fixture.fail(place.attempt(), FailureKind.FULL, Verdict.NOT_RUN, 0);
+            assertThat(actions).hasSize(1);
+        }
+        assertThat(RoutingFixture.refused(actions).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
 }
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/WaitingTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/WaitingTest.java
@@ -1,10 +1,13 @@
 package org.mangoridge.routing;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
@@ -98,4 +101,39 @@
         assertThat(fixture.send("counter", 16, 8)).isEmpty();
         assertThat(RoutingFixture.places(fixture.reportAll())).hasSize(1);
     }
+
+    @Test
+    void slotsThatRequestsWhichCannotWaitWillNeedAreKeptForThem() {
+        RoutingFixture fixture = fixture();
+        Deque<AttemptId> decoding = new ArrayDeque<>();
+        for (int i = 0; i < 300; i++) {
+            RoutingAction.Place place = RoutingFixture.placed(fixture.send("counter", 16, 8));
+            fixture.tell(new RoutingEvent.PrefillDone(place.attempt(), 16, 0));
+            fixture.tell(new RoutingEvent.FirstTokenSent(place.attempt()));
+            decoding.addLast(place.attempt());
+            fixture.advance(Duration.ofMillis(100));
+            if (decoding.size() > 10) {
+                fixture.complete(decoding.removeFirst(), 50);
+            }
+        }
+        decoding.forEach(attempt -> fixture.complete(attempt, 50));
+        int started = 0;
+        for (int i = 0; i < 30; i++) {
+            started += RoutingFixture.places(fixture.send("member-1", 16, 8)).size();
+        }
+        assertThat(started).isAtLeast(1);
+        assertThat(started).isAtMost(RoutingFixture.SLOTS - 10);
+    }
+
+    @Test
+    void queueLongerThanTheWaitAllowedIsRefusedOnArrival() {
+        RoutingFixture fixture = fixture();
+        fixture.othersHold("d-1", RoutingFixture.SLOTS);
+        List<RoutingAction.Refuse> refused = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            refused.addAll(RoutingFixture.refusals(fixture.send("member-1", 16, 8)));
+        }
+        assertThat(refused).isNotEmpty();
+        assertThat(refused.get(0).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
 }
