Limit workspaces by more than chance, and know rates from the start

A workspace was refused once it held 1.25 of its part rounded up, which at six instances and 24 workspaces is one slot each. Rates counted up from zero over 8 s, so that too little room was kept at first. The part of a slot that an instance may give to work that can wait was drawn every 500 ms, and each lucky draw then held for seconds.

Change: the limit allows two deviations above the part and at least 3 slots; rates are averaged over the time since the first count; the part is drawn every 5 s.

--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/Admission.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Admission.java
@@ -18,7 +18,7 @@
     private static final double PREFILL_KEPT_PER_LOAD = 2;
     private static final double TARGET_SHARE_PLANNED = 0.9;
     private static final double PATIENCE = 0.5;
-    private static final long DRAW_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long DRAW_NANOS = Duration.ofSeconds(5).toNanos();
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(30);
 
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/Rate.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/Rate.java
@@ -1,13 +1,15 @@
 package org.mangoridge.routing;
 
-/** The rate of something that is counted, averaged over the last few seconds. */
+/** The rate of something that is counted, averaged over the last few seconds or since the first count. */
 final class Rate {
 
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double LEAST_SECONDS = 1;
 
     private final double windowSeconds;
     private double perSecond;
     private long updatedNanos;
+    private long firstNanos = Long.MIN_VALUE;
 
     Rate(double windowSeconds) {
         this.windowSeconds = windowSeconds;
@@ -15,13 +17,20 @@
 
     /** Counts {@code amount} at {@code nowNanos}. */
     void add(double amount, long nowNanos) {
+        if (firstNanos == Long.MIN_VALUE) {
+            firstNanos = nowNanos;
+        }
         decay(nowNanos);
         perSecond += amount / windowSeconds;
     }
 
     double perSecond(long nowNanos) {
+        if (firstNanos == Long.MIN_VALUE) {
+            return 0;
+        }
         decay(nowNanos);
-        return perSecond;
+        double counted = Math.max(LEAST_SECONDS, (nowNanos - firstNanos) / NANOS_PER_SECOND);
+        return perSecond / (1 - Math.exp(-counted / windowSeconds));
     }
 
     private void decay(long nowNanos) {
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/WorkspaceShares.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/WorkspaceShares.java
@@ -11,7 +11,8 @@
 
     private static final int MAX_WORKSPACES = 4096;
     private static final long ACTIVE_NANOS = Duration.ofSeconds(10).toNanos();
-    private static final double BURST = 1.25;
+    private static final double DEVIATIONS = 2;
+    private static final int LEAST_DUE = 3;
 
     private static final class Use {
 
@@ -69,14 +70,17 @@
         });
     }
 
-    /** Tells whether a workspace has what is due to it, if this instance may use {@code freeSlots} more. */
+    /**
+     * Tells whether a workspace has what is due to it and what chance may add, if this instance may use {@code
+     * freeSlots} more.
+     */
     boolean isExhausted(WorkspaceId workspace, double freeSlots) {
         Use use = uses.get(workspace);
         if (use == null || uses.size() == 1) {
             return false;
         }
         double due = (inFlight + Math.max(0, freeSlots)) * use.weight / activeWeight;
-        return use.inFlight >= Math.max(1, Math.ceil(due * BURST));
+        return use.inFlight >= Math.max(LEAST_DUE, Math.ceil(due + DEVIATIONS * Math.sqrt(due)));
     }
 
     int size() {
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/WaitingTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/WaitingTest.java
@@ -136,4 +136,21 @@
         assertThat(refused).isNotEmpty();
         assertThat(refused.get(0).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
     }
+
+    @Test
+    void fewRequestsOfOneWorkspaceAreNoBurst() {
+        RoutingFixture fixture =
+                RoutingFixture.current(3).server("p-1", "prefill", "a").server("d-1", "decode", "a");
+        for (int i = 0; i < 24; i++) {
+            fixture.caller("caller-" + i, "counter", "workspace-" + i);
+        }
+        fixture.adopt();
+        for (int i = 0; i < 14; i++) {
+            assertThat(fixture.send("caller-" + i, 16, 8).get(0)).isInstanceOf(RoutingAction.Place.class);
+            fixture.pass(Duration.ofMillis(20));
+        }
+        fixture.othersHold("d-1", 4);
+        assertThat(fixture.send("caller-0", 16, 8).get(0)).isInstanceOf(RoutingAction.Place.class);
+        assertThat(fixture.send("caller-0", 16, 8).get(0)).isInstanceOf(RoutingAction.Place.class);
+    }
 }
