Count only what engines held for an instance when it was killed

Change: the attempts held at the kill are watched until none is held; the library's log is off in the bench like the project's own. Conclusion: the figure is of the killed instance alone.

--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -140,14 +142,16 @@
     private void kill(int number) {
         EntryInstance instance = instances.remove(number);
         Duration killed = clock.elapsed();
+        Set<String> held = engines.heldBy(id(number));
         engines.sever(id(number), KILL_TIME);
         threads.execute(instance::close);
-        threads.execute(() -> awaitFreed(id(number), killed));
+        threads.execute(() -> awaitFreed(id(number), held, killed));
     }
 
-    private void awaitFreed(InstanceId instance, Duration killed) {
+    /** Waits until engines hold none of the attempts that they held for an instance when it was killed. */
+    private void awaitFreed(InstanceId instance, Set<String> held, Duration killed) {
         try {
-            while (engines.heldBy(instance) > 0) {
+            while (!Collections.disjoint(engines.heldBy(instance), held)) {
                 Thread.sleep(FREED_POLL);
             }
             memoryFreed.add(clock.elapsed().minus(killed));
--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/EngineFleet.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/EngineFleet.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.mangoridge.bench.scenario.FaultStep;
 import org.mangoridge.core.id.InstanceId;
@@ -38,11 +40,11 @@
         engines.values().forEach(engine -> engine.sever(instance, time));
     }
 
-    /** Returns how many attempts of an instance all engines hold something for. */
-    int heldBy(InstanceId instance) {
+    /** Returns the attempts of an instance that any engine holds something for. */
+    Set<String> heldBy(InstanceId instance) {
         return engines.values().stream()
-                .mapToInt(engine -> engine.heldBy(instance))
-                .sum();
+                .flatMap(engine -> engine.heldBy(instance).stream())
+                .collect(Collectors.toSet());
     }
 
     /** Returns what all engines truly did since they started. */
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/BenchCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/BenchCommand.java
@@ -22,7 +22,8 @@
 /** Measures routing policies under load. */
 public final class BenchCommand implements Command {
 
-    private static final Logger LOGGER = Logger.getLogger("org.mangoridge");
+    private static final List<Logger> LOGGERS =
+            List.of(Logger.getLogger("org.mangoridge"), Logger.getLogger("ratpack"));
     private static final String DEFAULT_SECONDS = "60";
     private static final List<Double> CHART_LOADS = List.of(0.5, 0.75, 1.0, 1.25, 1.5);
 
@@ -55,7 +56,7 @@
     @Override
     public ExitCode run(Invocation invocation) {
         BenchOptions options = benchOptions(invocation);
-        LOGGER.setLevel(Level.OFF);
+        LOGGERS.forEach(logger -> logger.setLevel(Level.OFF));
         try (RunLock lock = RunLock.tryTake().orElse(null)) {
             if (lock == null) {
                 invocation.err().println("another measured run is in progress on this machine");
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/engine/EngineStandIn.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.InstanceId;
@@ -84,9 +86,11 @@
         });
     }
 
-    /** Returns how many attempts of an entry instance hold slots, memory or a place in the prefill queue. */
-    public int heldBy(InstanceId instance) {
-        return engine.look((core, now) -> core.held(instance.value(), now)).size();
+    /** Returns the attempts of an entry instance that hold a slot, memory or a place in the prefill queue. */
+    public Set<String> heldBy(InstanceId instance) {
+        return engine.look((core, now) -> core.held(instance.value(), now)).stream()
+                .map(EngineMessages.Held::attempt)
+                .collect(Collectors.toSet());
     }
 
     /** Returns what the engine truly did. */
