Spread a configuration by a few watchers a zone and by peers

Cause: every instance read the head once a second, so that the platform's calls grew with the fleet; an instance started during an outage had nothing to serve by, and nothing told why a newer configuration was not in force.

Change: a pure state machine decides how an instance follows the configuration: two instances of a zone hold a watch of 5 s, the others ask them or whoever is known to be ahead, and turn to the platform only if three peers in a row fail. Only a greater generation whose hashes verify is adopted; an older one in the platform is replaced by the newest known, with an audit entry. Peers are sent the pieces that they lack. Calls are budgeted by purpose.

--- a/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
@@ -53,14 +53,20 @@
 
     /** Reads the head; one of generation 0 and version 0 if there is none. */
     public Result<Head, StoreFailure> readHead() {
-        return store.read(HEAD).flatMap(object -> object.map(ConfigRepository::decodeHead)
-                .orElseGet(() -> Result.ok(
-                        new Head(0, Manifest.initial(), Manifest.initial().hash()))));
+        return readHeadObject().flatMap(ConfigRepository::decodeHead);
     }
 
-    /** Reads a head from the object that a watch gave; the error says why its hash does not verify. */
-    public static Result<Head, StoreFailure> decodeHead(StoredObject object) {
-        Result<HeadMessage, String> message = Json.read(object.value(), HeadMessage.class);
+    /** Reads the object that holds the head, without looking into it. */
+    public Result<Optional<StoredObject>, StoreFailure> readHeadObject() {
+        return store.read(HEAD);
+    }
+
+    /** Reads a head from its object; the error says why it does not verify. */
+    public static Result<Head, StoreFailure> decodeHead(Optional<StoredObject> object) {
+        if (object.isEmpty()) {
+            return Result.ok(new Head(0, Manifest.initial(), Manifest.initial().hash()));
+        }
+        Result<HeadMessage, String> message = Json.read(object.get().value(), HeadMessage.class);
         if (!message.isOk()) {
             return Result.err(new StoreFailure("the head is malformed: " + message.error()));
         }
@@ -68,7 +74,8 @@
         if (manifest == null || !manifest.hash().equals(message.value().hash())) {
             return Result.err(new StoreFailure("the hash of the head does not verify"));
         }
-        return Result.ok(new Head(object.version(), manifest, message.value().hash()));
+        return Result.ok(
+                new Head(object.get().version(), manifest, message.value().hash()));
     }
 
     /** Writes the head if it has {@code version}; 0 if there must be none. */
@@ -77,8 +84,16 @@
         return store.write(HEAD, Json.bytes(new HeadMessage(manifest.hash(), manifest)), condition);
     }
 
-    /** Reads the configuration that {@code head} names, and only the pieces that are not in {@code known}. */
+    /** Reads and verifies the configuration that {@code head} names, and only the pieces that {@code known} lacks. */
     public Result<PublishedConfig, StoreFailure> load(Head head, PublishedConfig known) {
+        return contents(head, known).flatMap(contents -> {
+            Result<PublishedConfig, String> verified = PublishedConfig.verify(head.manifest(), head.hash(), contents);
+            return verified.isOk() ? Result.ok(verified.value()) : Result.err(new StoreFailure(verified.error()));
+        });
+    }
+
+    /** Reads the contents of the pieces that {@code head} names by their hashes, without verifying them. */
+    public Result<Map<String, String>, StoreFailure> contents(Head head, PublishedConfig known) {
         Map<String, String> contents = new HashMap<>(known.contents());
         for (Piece piece : head.manifest().pieces()) {
             if (!contents.containsKey(piece.hash())) {
@@ -86,13 +101,13 @@
                 if (!read.isOk()) {
                     return Result.err(read.error());
                 }
-                read.value().ifPresent(object -> contents.put(piece.hash(), text(object)));
+                if (read.value().isEmpty()) {
+                    return Result.err(new StoreFailure("a piece of the configuration is not in the store"));
+                }
+                contents.put(piece.hash(), text(read.value().get()));
             }
         }
-        return switch (PublishedConfig.verify(head.manifest(), head.hash(), contents)) {
-            case Result.Ok<PublishedConfig, String> ok -> Result.ok(ok.value());
-            case Result.Err<PublishedConfig, String> err -> Result.err(new StoreFailure(err.error()));
-        };
+        return Result.ok(contents);
     }
 
     /** Writes a piece; one that is there already has the same content, which its name states. */
--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
@@ -7,6 +7,7 @@
 
 import org.mangoridge.config.audit.AuditStore.Pointer;
 import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.platform.ObjectStore;
 import org.mangoridge.platform.Precondition;
 import org.mangoridge.platform.StoreFailure;
@@ -53,6 +54,11 @@
         return new AuditLog(AuditStore.create(store), trail.replaceAll("[^A-Za-z0-9._~-]", "-"), random);
     }
 
+    /** Returns the name of the trail of what happens in {@code zone}. */
+    public static String zoneTrail(AvailabilityZone zone) {
+        return "zone-" + zone;
+    }
+
     /** Returns the name of the trail. */
     public String trail() {
         return trail;
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/spread/CheckedConfig.java
@@ -0,0 +1,34 @@
+package org.mangoridge.config.spread;
+
+import java.util.List;
+
+import org.mangoridge.config.PublishedConfig;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.id.Generation;
+import org.mangoridge.settings.deployment.Deployment;
+import org.mangoridge.settings.deployment.DeploymentParser;
+import org.mangoridge.settings.ini.Problem;
+
+/**
+ * A configuration whose hashes verify and whose text is well formed.
+ *
+ * @param published the configuration
+ * @param deployment what it says
+ */
+public record CheckedConfig(PublishedConfig published, Deployment deployment) {
+
+    /** Checks the text of a configuration; the error is the first problem. */
+    public static Result<CheckedConfig, String> check(PublishedConfig published) {
+        String name = "generation-" + published.generation();
+        return switch (DeploymentParser.parseText(name, published.text())) {
+            case Result.Ok<Deployment, List<Problem>> ok -> Result.ok(new CheckedConfig(published, ok.value()));
+            case Result.Err<Deployment, List<Problem>> err ->
+                Result.err(err.error().get(0).toString());
+        };
+    }
+
+    /** Returns its number. */
+    public Generation generation() {
+        return published.generation();
+    }
+}
--- /dev/null
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/spread/ConfigOffer.java
@@ -0,0 +1,38 @@
+package org.mangoridge.config.spread;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.mangoridge.config.Manifest;
+import org.mangoridge.config.PublishedConfig;
+import org.mangoridge.core.Result;
+import org.mangoridge.http.Json;
+
+/**
+ * A configuration as one instance hands it to another: without the pieces that the other has.
+ *
+ * @param hash the hash of the manifest
+ * @param text the manifest and the pieces, as text
+ */
+public record ConfigOffer(String hash, String text) {
+
+    /** The content of an offer. */
+    private record Content(Manifest manifest, Map<String, String> pieces) {}
+
+    /** Returns an offer of {@code config} to an instance that has {@code known}. */
+    public static ConfigOffer of(PublishedConfig config, Manifest known) {
+        return new ConfigOffer(config.hash(), Json.text(new Content(config.manifest(), config.contentsBeyond(known))));
+    }
+
+    /** Puts the configuration together with the pieces of {@code known} and verifies it. */
+    public Result<PublishedConfig, String> open(PublishedConfig known) {
+        return Json.read(text, Content.class).flatMap(content -> {
+            if (content.manifest() == null || content.pieces() == null) {
+                return Result.err("the offer is malformed");
+            }
+            Map<String, String> contents = new HashMap<>(known.contents());
+            contents.putAll(content.pieces());
+            return PublishedConfig.verify(content.manifest(), hash, contents);
+        });
+    }
+}
--- /dev/null
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/spread/AdoptionTest.java
@@ -0,0 +1,108 @@
+package org.mangoridge.config.spread;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.mangoridge.config.ConfigRepository.Head;
+import org.mangoridge.config.PublishedConfig;
+import org.mangoridge.config.Samples;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.standin.platform.LocalObjectStore;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AdoptionTest {
+
+    private static final InstanceId SELF = InstanceId.of("n1");
+    private static final InstanceId PEER = InstanceId.of("n2");
+
+    /** How a configuration that is not greater reaches an instance. */
+    private enum Source {
+        LATE_LOAD,
+        LAGGING_PEER,
+        STALE_READ,
+        LATE_WATCH
+    }
+
+    private final ConfigAgent agent =
+            ConfigAgent.create(SELF, AgentTiming.standard().expectingPeers(false), new SplittableRandom(1));
+    private Duration now = Duration.ZERO;
+
+    @ParameterizedTest
+    @EnumSource(Source.class)
+    void olderGenerationIsNotAdoptedNorLoaded(Source source) {
+        LocalObjectStore store = LocalObjectStore.create();
+        PublishedConfig older = Samples.publish(store, "a1", 1);
+        PublishedConfig newer = Samples.publish(store, "a2", 2);
+        adopt(newer);
+        assertThat(taken(event(source, older))).isFalse();
+        assertThat(agent.known()).isEqualTo(newer);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Source.class)
+    void anotherConfigurationOfTheSameGenerationIsNotAdopted(Source source) {
+        PublishedConfig mine = Samples.publish(LocalObjectStore.create(), "a1", 1);
+        PublishedConfig other = Samples.publish(LocalObjectStore.create(), "b1", 5);
+        adopt(mine);
+        assertThat(taken(event(source, other))).isFalse();
+        assertThat(agent.known()).isEqualTo(mine);
+    }
+
+    @Test
+    void staleReadMakesTheInstanceOfferItsNewerOneBack() {
+        LocalObjectStore store = LocalObjectStore.create();
+        PublishedConfig older = Samples.publish(store, "a1", 1);
+        adopt(Samples.publish(store, "a2", 2));
+        assertThat(on(event(Source.STALE_READ, older))).contains(new AgentAction.Restore(agent.known()));
+    }
+
+    @Test
+    void peerThatIsSaidToBeAheadButHasNothingNewerIsNotAskedWithoutPause() {
+        ConfigPeers.PeerGeneration ahead =
+                new ConfigPeers.PeerGeneration(PEER, org.mangoridge.core.id.Generation.of(7));
+        ConfigPeers.View view =
+                new ConfigPeers.View(List.of(SELF, PEER), List.of(PEER), Optional.of(ahead), List.of(ahead));
+        assertThat(asks(on(new AgentEvent.Tick(view)))).isTrue();
+        assertThat(asks(on(new AgentEvent.PeerAnswered(PEER, Optional.empty()))))
+                .isFalse();
+        assertThat(asks(on(new AgentEvent.Tick(view)))).isFalse();
+    }
+
+    private void adopt(PublishedConfig config) {
+        assertThat(taken(new AgentEvent.Loaded(checked(config)))).isTrue();
+    }
+
+    private boolean taken(AgentEvent event) {
+        return on(event).stream()
+                .anyMatch(action -> action instanceof AgentAction.Adopt || action instanceof AgentAction.Load);
+    }
+
+    private List<AgentAction> on(AgentEvent event) {
+        now = now.plusMillis(1);
+        return agent.on(event, now);
+    }
+
+    private static boolean asks(List<AgentAction> actions) {
+        return actions.stream().anyMatch(AgentAction.AskPeer.class::isInstance);
+    }
+
+    private static AgentEvent event(Source source, PublishedConfig config) {
+        Head head = new Head(3, config.manifest(), config.hash());
+        return switch (source) {
+            case LATE_LOAD -> new AgentEvent.Loaded(checked(config));
+            case LAGGING_PEER -> new AgentEvent.PeerAnswered(PEER, Optional.of(checked(config)));
+            case STALE_READ -> new AgentEvent.HeadRead(head);
+            case LATE_WATCH -> new AgentEvent.WatchEnded(4, true, Optional.of(head));
+        };
+    }
+
+    private static CheckedConfig checked(PublishedConfig config) {
+        return CheckedConfig.check(config).value();
+    }
+}
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -6,13 +6,14 @@
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
-import org.mangoridge.config.ConfigRepository;
 import org.mangoridge.config.Publisher;
 import org.mangoridge.config.audit.AuditLog;
+import org.mangoridge.config.spread.AgentTiming;
+import org.mangoridge.config.spread.ConfigAgent;
+import org.mangoridge.config.spread.ConfigPeers;
 import org.mangoridge.core.event.EventLog;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.Incarnation;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.net.HostPort;
@@ -23,9 +24,11 @@
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.entry.config.AuditPages;
+import org.mangoridge.entry.config.ConfigCalls;
 import org.mangoridge.entry.config.ConfigEndpoint;
 import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
+import org.mangoridge.entry.config.PeerConfigs;
 import org.mangoridge.entry.control.ControlLoop;
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
@@ -38,8 +41,10 @@
 import org.mangoridge.entry.plain.PlainRequestHandler;
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.HttpTransport;
-import org.mangoridge.peer.rpc.PeerConfig;
 import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.platform.budget.BudgetedStore;
+import org.mangoridge.platform.budget.CallBudget;
+import org.mangoridge.platform.budget.CallPurpose;
 import org.mangoridge.platform.http.HttpObjectStore;
 import org.mangoridge.routing.RoutingEvent;
 import org.mangoridge.routing.RoutingPolicy;
@@ -134,6 +139,9 @@
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         EngineDirectory engines = address -> HttpModelEngine.create(transport, address);
         ObjectStore store = HttpObjectStore.create(transport, settings.platformAddress(), PLATFORM_TIMEOUT);
+        CallBudget budget = CallBudget.full(clock.elapsed());
+        AuditLog audit = AuditLog.create(
+                BudgetedStore.of(store, budget, CallPurpose.AUDIT, clock), AuditLog.zoneTrail(settings.zone()), random);
         OrphanSweeper sweeper =
                 own(OrphanSweeper.create(control, clock, engines, () -> config().deployment(), () -> peers.view()));
         peers = own(PeerNode.start(
@@ -142,16 +150,25 @@
                 control,
                 clock,
                 random,
-                this::configNewerThan,
+                known -> PeerConfigs.answer(follower, known),
                 counter,
                 new PeerEvents(driver, sweeper)));
         control.post(() -> sweeper.gone(formerRuns()));
         control.every(SWEEP_TICK, sweeper::tick);
-        peers.followList(store);
-        follower = own(ConfigFollower.start(ConfigRepository.create(store), config -> {
-            driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
-            peers.adopted(config.generation());
-        }));
+        ConfigPeers configPeers = PeerConfigs.create(peers, random);
+        ObjectStore configStore = BudgetedStore.of(store, budget, CallPurpose.CONFIGURATION, clock);
+        AgentTiming timing =
+                AgentTiming.standard().expectingPeers(!settings.seeds().isEmpty());
+        follower = own(ConfigFollower.start(
+                ConfigAgent.create(settings.id(), timing, random),
+                ConfigCalls.create(configStore, configPeers, audit, settings.id(), clock),
+                configPeers::view,
+                clock,
+                config -> {
+                    driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
+                    peers.adopted(config.generation());
+                }));
+        peers.followList(configStore, () -> follower.isWatcher());
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
                 .start(() -> config().deployment(), service -> true);
@@ -159,7 +176,13 @@
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, () -> false, models, plain);
         OperatorEndpoint operators = new OperatorEndpoint(
-                owner, this::config, metrics, accounts, configEndpoint(settings, store, clock, random), peers::view);
+                owner,
+                this::config,
+                metrics,
+                accounts,
+                configEndpoint(settings, BudgetedStore.of(store, budget, CallPurpose.OPERATORS, clock), clock, random),
+                () -> follower,
+                peers::view);
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
@@ -183,10 +206,6 @@
         return new Owner(owner.instance(), Incarnation.of(last));
     }
 
-    private PeerConfig configNewerThan(Generation known) {
-        return PeerConfig.nothingNewer(config().generation());
-    }
-
     private ConfigInForce config() {
         ConfigFollower current = follower;
         return current == null ? ConfigInForce.none() : current.inForce();
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -7,6 +7,7 @@
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.entry.accounts.AccountLedger;
 import org.mangoridge.entry.config.ConfigEndpoint;
+import org.mangoridge.entry.config.ConfigFollower;
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.metrics.PrometheusText;
 import org.mangoridge.peer.membership.Member;
@@ -30,8 +31,27 @@
      * @param generation the configuration in force
      * @param hash the hash of its text
      * @param ready whether it takes requests
+     * @param source where the configuration came from, empty before the first
+     * @param problem what is wrong with a newer configuration or with following it, empty if nothing
+     * @param peers what the other instances have in force, as far as this one knows
      */
-    record Status(String instance, long incarnation, long generation, String hash, boolean ready) {}
+    record Status(
+            String instance,
+            long incarnation,
+            long generation,
+            String hash,
+            boolean ready,
+            String source,
+            String problem,
+            List<PeerStatus> peers) {}
+
+    /**
+     * What another instance has in force.
+     *
+     * @param instance its name
+     * @param generation its generation
+     */
+    record PeerStatus(String instance, long generation) {}
 
     /**
      * What one caller's requests came to.
@@ -78,6 +98,7 @@
     private final MetricRegistry metrics;
     private final AccountLedger accounts;
     private final ConfigEndpoint configEndpoint;
+    private final Supplier<ConfigFollower> follower;
     private final Supplier<PeerView> peers;
 
     OperatorEndpoint(
@@ -86,12 +107,14 @@
             MetricRegistry metrics,
             AccountLedger accounts,
             ConfigEndpoint configEndpoint,
+            Supplier<ConfigFollower> follower,
             Supplier<PeerView> peers) {
         this.owner = owner;
         this.config = config;
         this.metrics = metrics;
         this.accounts = accounts;
         this.configEndpoint = configEndpoint;
+        this.follower = follower;
         this.peers = peers;
     }
 
@@ -113,13 +136,24 @@
                                 owner.incarnation().value(),
                                 inForce.generation().value(),
                                 inForce.hash(),
-                                inForce.isAdopted()));
+                                inForce.isAdopted(),
+                                follower.get().source(),
+                                follower.get().problem(),
+                                peerStatus(peers.get())));
             case "GET /peers" -> WebReply.json(200, peerList(peers.get()));
             case "GET /accounts" -> WebReply.json(200, accountList());
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
     }
 
+    private static List<PeerStatus> peerStatus(PeerView view) {
+        return view.others().stream()
+                .filter(Sighting::mayWork)
+                .map(sighting -> new PeerStatus(
+                        sighting.id().value(), sighting.member().generation().value()))
+                .toList();
+    }
+
     private static PeerList peerList(PeerView view) {
         return new PeerList(
                 view.isolated(),
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
@@ -115,9 +116,15 @@
         return node;
     }
 
-    /** Starts reading the platform's list of instances from {@code store} at intervals. */
-    public void followList(ObjectStore store) {
-        timer.scheduleWithFixedDelay(() -> readList(store), 0, LIST_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    /**
+     * Starts reading the platform's list of instances from {@code store} at intervals.
+     *
+     * @param isReader tells whether this instance is one of the few that read it, since the platform counts each call;
+     *     one that knows no other reads it in any case
+     */
+    public void followList(ObjectStore store, BooleanSupplier isReader) {
+        timer.scheduleWithFixedDelay(
+                () -> readList(store, isReader), 0, LIST_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Returns the address that peers connect to. */
@@ -221,7 +228,10 @@
         control.post(() -> apply(event));
     }
 
-    private void readList(ObjectStore store) {
+    private void readList(ObjectStore store, BooleanSupplier isReader) {
+        if (!view.others().isEmpty() && !isReader.getAsBoolean()) {
+            return;
+        }
         try {
             Result<List<ListedInstance>, StoreFailure> list = store.instances();
             if (list.isOk()) {
--- /dev/null
+++ b/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/package-info.java
@@ -0,0 +1,2 @@
+/** How often an instance may call the platform. */
+package org.mangoridge.platform.budget;
