--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
@@ -110,7 +110,7 @@
         if (there.value().id().equals(next.id())) {
             return true;
         }
-        last = Pointer.at(there.value());
+        last = store.newestFrom(trail, key, there.value());
         return false;
     }
 
--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditStore.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditStore.java
@@ -109,6 +109,17 @@
         }
     }
 
+    /** Returns the newest entry of a trail after the one under {@code name}, or that one if none is known. */
+    Pointer newestFrom(String trail, String name, ChainedEntry entry) {
+        Result<List<StoredObject>, StoreFailure> later =
+                store.list("audit/" + trail + "/", entryKey(trail, name).path(), PAGE);
+        if (!later.isOk() || later.value().isEmpty()) {
+            return Pointer.at(entry);
+        }
+        StoredObject newest = later.value().get(later.value().size() - 1);
+        return optional(ChainedEntry.decode(newest.value())).map(Pointer::at).orElse(Pointer.at(entry));
+    }
+
     /** Reads where a trail's tip or anchor points. */
     Result<Pointer, StoreFailure> pointer(ObjectKey key) {
         return store.read(key).map(object -> object.flatMap(value -> optional(Json.read(value.value(), Pointer.class)))
--- /dev/null
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/spread/OfferSizeTest.java
@@ -0,0 +1,70 @@
+package org.mangoridge.config.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.config.ApplyOutcome;
+import org.mangoridge.config.PublishedConfig;
+import org.mangoridge.config.Publisher;
+import org.mangoridge.config.Samples;
+import org.mangoridge.core.id.Generation;
+import org.mangoridge.settings.ini.IniEntry;
+import org.mangoridge.settings.ini.IniSection;
+import org.mangoridge.standin.platform.LocalObjectStore;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class OfferSizeTest {
+
+    private static final int WORKSPACES = 2800;
+    private static final int CHANGES_A_DAY = 240;
+    private static final int SAMPLED_CHANGES = 40;
+    private static final int STARTS_A_DAY = 219;
+    private static final int INSTANCES = 340;
+
+    @Test
+    void sendingWhatAPeerLacksTakesAFractionOfTheWhole() {
+        LocalObjectStore store = LocalObjectStore.create();
+        Publisher publisher = Samples.publisher(store);
+        SplittableRandom random = new SplittableRandom(5);
+        List<IniSection> sections = new ArrayList<>(Samples.sections(WORKSPACES, 1));
+        publisher.apply(Samples.request("a0", "ann", sections), PublishedConfig.initial());
+        ConfigHistory history = ConfigHistory.create();
+        history.add(Samples.stored(store));
+        long changed = 0;
+        for (int i = 1; i <= SAMPLED_CHANGES; i++) {
+            moveOneCaller(sections, random, i);
+            PublishedConfig known = history.current();
+            ApplyOutcome outcome = publisher.apply(Samples.request("a" + i, "ann", sections), known);
+            assertThat(outcome).isInstanceOf(ApplyOutcome.Accepted.class);
+            history.add(Samples.stored(store));
+            changed += history.since(known.generation()).orElseThrow().text().length();
+        }
+        long whole = history.since(Generation.of(0)).orElseThrow().text().length();
+        long changesADay = changed / SAMPLED_CHANGES * CHANGES_A_DAY * INSTANCES;
+        long wholesADay = whole * CHANGES_A_DAY * INSTANCES;
+        System.out.printf(
+                "%d states: whole %d bytes, a change on average %d bytes; to %d instances a day"
+                        + " %d MB by changes against %d MB by wholes, and %d MB for %d starts either way%n",
+                WORKSPACES,
+                whole,
+                changed / CHANGES_A_DAY,
+                INSTANCES,
+                changesADay >> 20,
+                wholesADay >> 20,
+                whole * STARTS_A_DAY >> 20,
+                STARTS_A_DAY);
+        assertThat(changesADay * 8).isLessThan(wholesADay);
+    }
+
+    private static void moveOneCaller(List<IniSection> sections, SplittableRandom random, int number) {
+        int index = 1 + random.nextInt(WORKSPACES);
+        IniSection old = sections.get(index);
+        List<IniEntry> entries = new ArrayList<>(old.entries());
+        IniEntry workspace = entries.get(2);
+        entries.set(2, new IniEntry(workspace.key(), "moved-" + number, workspace.origin()));
+        sections.set(index, new IniSection(old.kind(), old.name(), old.origin(), entries));
+    }
+}
