--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -33,6 +33,8 @@
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
     CONFIGURATION_REJECTED(402, Level.WARNING, "configuration rejected"),
+    /** An audit entry is not known to be kept. */
+    AUDIT_ENTRY_LOST(403, Level.WARNING, "audit entry lost"),
     /** The platform does not answer. */
     PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
     /** The platform answers again. */
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -22,6 +22,7 @@
 import org.mangoridge.engine.http.HttpModelEngine;
 import org.mangoridge.engine.plain.HttpPlainService;
 import org.mangoridge.entry.accounts.AccountLedger;
+import org.mangoridge.entry.audit.OrderTrail;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.entry.config.AuditPages;
 import org.mangoridge.entry.config.ConfigCalls;
@@ -170,7 +171,8 @@
                 }));
         peers.followList(configStore, () -> follower.isWatcher());
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
-        own(OrderLoop.create(control, clock, owner, settings.zone(), store, engines, (order, outcome) -> {}))
+        own(OrderLoop.create(
+                        control, clock, owner, settings.zone(), store, engines, new OrderTrail(audit, owner, clock)))
                 .start(() -> config().deployment(), service -> true);
         ModelRequestHandler models = ModelRequestHandler.create(driver, engines, owner, clock, accounts);
         PlainRequestHandler plain = PlainRequestHandler.create(HttpPlainService.create(transport), random, accounts);
