--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -158,17 +158,8 @@
         control.every(SWEEP_TICK, sweeper::tick);
         ConfigPeers configPeers = PeerConfigs.create(peers, random);
         ObjectStore configStore = BudgetedStore.of(store, budget, CallPurpose.CONFIGURATION, clock);
-        AgentTiming timing =
-                AgentTiming.standard().expectingPeers(!settings.seeds().isEmpty());
-        follower = own(ConfigFollower.start(
-                ConfigAgent.create(settings.id(), timing, random),
-                ConfigCalls.create(configStore, configPeers, audit, settings.id(), clock),
-                configPeers::view,
-                clock,
-                config -> {
-                    driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
-                    peers.adopted(config.generation());
-                }));
+        ConfigCalls configCalls = ConfigCalls.create(configStore, configPeers, audit, settings.id(), clock);
+        follower = own(follow(settings, configCalls, configPeers, driver, clock, random));
         peers.followList(configStore, () -> follower.isWatcher());
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         own(OrderLoop.create(
@@ -182,7 +173,12 @@
                 this::config,
                 metrics,
                 accounts,
-                configEndpoint(settings, BudgetedStore.of(store, budget, CallPurpose.OPERATORS, clock), clock, random),
+                configEndpoint(
+                        settings,
+                        BudgetedStore.of(store, budget, CallPurpose.OPERATORS, clock),
+                        configPeers,
+                        clock,
+                        random),
                 () -> follower,
                 peers::view);
         operatorServer = own(
@@ -191,15 +187,36 @@
                 own(WebServer.start(settings.callerAddress(), settings.maxBodyBytes(), CALLER_EVENT_LOOPS, callers));
     }
 
+    private ConfigFollower follow(
+            InstanceSettings settings,
+            ConfigCalls calls,
+            ConfigPeers configPeers,
+            RoutingDriver driver,
+            Clock clock,
+            RandomGenerator random) {
+        AgentTiming timing =
+                AgentTiming.standard().expectingPeers(!settings.seeds().isEmpty());
+        ConfigAgent agent = ConfigAgent.create(settings.id(), timing, random);
+        return ConfigFollower.start(agent, calls, configPeers::view, clock, config -> {
+            driver.tell(new RoutingEvent.DeploymentAdopted(config.deployment()));
+            peers.adopted(config.generation());
+        });
+    }
+
     private ConfigEndpoint configEndpoint(
-            InstanceSettings settings, ObjectStore store, Clock clock, RandomGenerator random) {
+            InstanceSettings settings,
+            ObjectStore store,
+            ConfigPeers configPeers,
+            Clock clock,
+            RandomGenerator random) {
         AuditLog refusals = AuditLog.create(store, AuditLog.REFUSALS, random);
         return ConfigEndpoint.create(
                 OperatorAuthenticator.of(settings.operators()),
                 Publisher.create(store, refusals, clock),
                 AuditPages.create(store),
                 () -> follower.published(),
-                settings.id().value());
+                settings.id().value(),
+                configPeers);
     }
 
     /** Returns the last run that this instance may have had before; whatever it held is orphaned. */
