Let the bench's instances know each other

Cause: the instances of a run had no seeds, so that none heard of the others and nobody released what a killed one held. Change: each instance starts with the addresses of those before it as seeds.

--- a/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
+++ b/mangoridge-bench/src/main/java/org/mangoridge/bench/BenchSystem.java
@@ -191,7 +191,7 @@
                 ANY_PORT,
                 ANY_PORT,
                 platform.address(),
-                List.of(),
+                instances.values().stream().map(EntryInstance::peerAddress).toList(),
                 MAX_BODY_BYTES,
                 TIMEOUT,
                 TIMEOUT,
