Renew connections by age and together once one goes silent

Cause: a pooled connection that goes silent fails a call by its timeout, and every other one pooled with it fails another; a caller that sends or reads nothing kept its connection for ever. Change: the pool's client is replaced for new calls once one of its calls brought nothing, at most once in 5 s, and every 5 min give or take a fifth; calls in progress finish on the former one. A body must be whole after 20 s, and a caller's connection is closed after 5 min without a byte.

--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/ProcessFleet.java
@@ -44,6 +44,7 @@
     private static final Pattern INCARNATION = Pattern.compile("\"incarnation\":(\\d+)");
 
     final EngineStandIn engine;
+    final SilentProxy proxy;
     final List<ServeProcess> instances = new ArrayList<>();
     final HttpTransport transport = HttpTransport.create(TIMEOUT);
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
@@ -52,13 +53,23 @@
     private final Path folder;
     private final String settings;
 
+    /** Starts {@code size} instances that reach the engine through {@link #proxy}. */
+    static ProcessFleet behindProxy(Path folder, int size) throws IOException {
+        return new ProcessFleet(folder, size, "", true);
+    }
+
     /** Starts the stand-ins and {@code size} instances that know of each other. */
     ProcessFleet(Path folder, int size, String settings) throws IOException {
+        this(folder, size, settings, false);
+    }
+
+    private ProcessFleet(Path folder, int size, String settings, boolean proxied) throws IOException {
         this.folder = folder;
         this.settings = settings;
         parts.push(transport);
         platform = own(PlatformStandIn.start(ANY_PORT));
         engine = own(EngineStandIn.start(ANY_PORT, EngineProfile.of("both", "chalk-llm", "1"), clock));
+        proxy = proxied ? own(SilentProxy.start(engine.address())) : null;
         ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
         Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new Random(SEED)), clock)
                 .applyText(ApplyId.of("fleet-1"), "fleet", config());
@@ -167,7 +178,9 @@
                 zone = zone-a
                 role = both
                 service = draftroom
-                """.formatted(KeyHash.of("demosalt".getBytes(StandardCharsets.UTF_8), SECRET), engine.address());
+                """.formatted(
+                        KeyHash.of("demosalt".getBytes(StandardCharsets.UTF_8), SECRET),
+                        proxy == null ? engine.address() : proxy.address());
     }
 
     private <T extends AutoCloseable> T own(T part) {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -114,7 +114,7 @@
         this.random = random;
         owner = new Owner(settings.id(), Incarnation.of(clock.now().toEpochMilli()));
         control = own(ControlLoop.start("control-" + settings.id()));
-        transport = own(HttpTransport.create(CONNECT_TIMEOUT));
+        transport = own(HttpTransport.create(CONNECT_TIMEOUT, clock, random));
         accounts = AccountLedger.create(control, metrics, clock);
         inFlight = InFlightCounter.around(policy);
         driver = RoutingDriver.create(control, clock, inFlight);
--- a/mangoridge-http/src/main/java/org/mangoridge/http/HttpLines.java
+++ b/mangoridge-http/src/main/java/org/mangoridge/http/HttpLines.java
@@ -13,8 +13,10 @@
     private final int status;
     private final Headers headers;
     private final LineQueue lines;
+    private final Runnable onSilence;
 
-    HttpLines(int status, Headers headers, LineQueue lines) {
+    HttpLines(int status, Headers headers, LineQueue lines, Runnable onSilence) {
+        this.onSilence = onSilence;
         this.status = status;
         this.headers = headers;
         this.lines = lines;
@@ -32,7 +34,7 @@
 
     /** Waits at most {@code timeout} for the next line; empty after the last line of a whole answer. */
     public Result<Optional<String>, HttpFailure> nextLine(Duration timeout) {
-        return lines.next(timeout);
+        return lines.next(timeout, onSilence);
     }
 
     /** Reads the rest, a bounded number of lines, as one text; for the body of an error. */
--- a/mangoridge-http/src/main/java/org/mangoridge/http/HttpTransport.java
+++ b/mangoridge-http/src/main/java/org/mangoridge/http/HttpTransport.java
@@ -2,71 +2,83 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.http.HttpClient;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
 
 import org.mangoridge.core.Result;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.core.verdict.AttemptProgress;
 
 /**
  * Sends outbound calls over pooled HTTP/1.1 connections.
  *
- * <p>Calls block and are meant for virtual threads. The underlying client repeats a call on a broken connection only
+ * <p>Connections are renewed by age, and together once one of them went silent. Calls block and are meant for virtual threads. The underlying client repeats a call on a broken connection only
  * if its method is idempotent; any other call is sent at most once. Safe for use by several threads.
  */
 public final class HttpTransport implements AutoCloseable {
 
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
-    private final HttpClient client;
+    private final ClientPool clients;
 
-    private HttpTransport(HttpClient client) {
-        this.client = client;
+    private HttpTransport(ClientPool clients) {
+        this.clients = clients;
     }
 
     /** Returns a transport that gives up connecting after {@code connectTimeout}. */
     public static HttpTransport create(Duration connectTimeout) {
-        return new HttpTransport(HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
-                .connectTimeout(connectTimeout)
-                .followRedirects(HttpClient.Redirect.NEVER)
-                .build());
+        return create(connectTimeout, SystemClock.instance(), new SplittableRandom(connectTimeout.toNanos()));
+    }
+
+    /**
+     * Returns a transport that gives up connecting after {@code connectTimeout}.
+     *
+     * @param clock tells the age of connections
+     * @param random spreads the times at which they are renewed; used by one thread at a time
+     */
+    public static HttpTransport create(Duration connectTimeout, Clock clock, RandomGenerator random) {
+        return new HttpTransport(new ClientPool(connectTimeout, clock, random));
     }
 
     /** Sends {@code call} and waits for the whole answer. */
     public Result<HttpAnswer, HttpFailure> send(HttpCall call) {
         BoundedBody body = new BoundedBody(MAX_ANSWER_BYTES);
-        return await(call, info -> body.subscriber(), body)
+        return await(clients.take(), call, info -> body.subscriber(), body)
                 .map(response -> new HttpAnswer(response.statusCode(), headers(response), response.body()));
     }
 
     /** Sends {@code call} and waits for the head of the answer; the caller closes the stream. */
     public Result<HttpLines, HttpFailure> open(HttpCall call) {
-        return await(call, info -> LineQueue.subscriber(), new BoundedBody(MAX_ANSWER_BYTES))
-                .map(response -> new HttpLines(response.statusCode(), headers(response), response.body()));
+        ClientPool.Lease lease = clients.take();
+        return await(lease, call, info -> LineQueue.subscriber(), new BoundedBody(MAX_ANSWER_BYTES))
+                .map(response -> new HttpLines(
+                        response.statusCode(), headers(response), response.body(), () -> clients.silent(lease)));
     }
 
     @Override
     public void close() {
-        client.shutdownNow();
+        clients.close();
     }
 
     private <T> Result<HttpResponse<T>, HttpFailure> await(
-            HttpCall call, HttpResponse.BodyHandler<T> handler, BoundedBody body) {
-        CompletableFuture<HttpResponse<T>> pending = client.sendAsync(request(call), handler);
+            ClientPool.Lease lease, HttpCall call, HttpResponse.BodyHandler<T> handler, BoundedBody body) {
+        CompletableFuture<HttpResponse<T>> pending = lease.client().sendAsync(request(call), handler);
         try {
             return Result.ok(pending.get(call.timeout().toNanos(), TimeUnit.NANOSECONDS));
         } catch (TimeoutException e) {
             pending.cancel(true);
+            clients.silent(lease);
             return failure(body.progress(), "no answer within " + call.timeout().toMillis() + " ms");
         } catch (InterruptedException e) {
             pending.cancel(true);
--- a/mangoridge-http/src/main/java/org/mangoridge/http/LineQueue.java
+++ b/mangoridge-http/src/main/java/org/mangoridge/http/LineQueue.java
@@ -66,11 +66,14 @@
         items.offer(new Ended());
     }
 
-    /** Waits at most {@code timeout} for a line; empty at the end of a whole answer. */
-    Result<Optional<String>, HttpFailure> next(Duration timeout) {
+    /** Waits at most {@code timeout} for a line, else runs {@code onSilence}; empty at the end of a whole answer. */
+    Result<Optional<String>, HttpFailure> next(Duration timeout, Runnable onSilence) {
         try {
             return switch (items.poll(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-                case null -> broken("no progress within " + timeout.toMillis() + " ms");
+                case null -> {
+                    onSilence.run();
+                    yield broken("no progress within " + timeout.toMillis() + " ms");
+                }
                 case Line line -> {
                     subscription.request(1);
                     yield Result.ok(Optional.of(line.text()));
--- a/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -24,6 +26,7 @@
 
     private static final Duration SLOWEST_READER = Duration.ofSeconds(10);
     private static final byte[] NO_BODY = new byte[0];
+    private static final Duration SLOWEST_SENDER = Duration.ofSeconds(20);
     private static final int INTERNAL_ERROR_STATUS = 500;
 
     /** An answer whose streamed body, if it has one, is being written. */
@@ -51,12 +54,18 @@
         ctx.onClose(outcome -> ticket.sent());
         ConnectionState connection = watchConnection(ctx);
         connection.onGone(ticket::closed);
+        ScheduledFuture<?> slowSender = ctx.getDirectChannelAccess()
+                .getChannel()
+                .eventLoop()
+                .schedule(() -> close(ctx), SLOWEST_SENDER.toMillis(), TimeUnit.MILLISECONDS);
+        connection.onGone(() -> slowSender.cancel(false));
         ctx.getRequest()
                 .getBody(maxBodyBytes, () -> {
                     ticket.handled();
                     refuseBody(ctx, connection);
                 })
                 .then(body -> {
+                    slowSender.cancel(false);
                     ticket.started();
                     WebRequest request = request(ctx.getRequest(), body.getBytes(), connection);
                     Promise.<Outgoing>async(down -> start(() -> {
--- a/mangoridge-web/src/main/java/org/mangoridge/web/WebServer.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/WebServer.java
@@ -1,5 +1,6 @@
 package org.mangoridge.web;
 
+import java.time.Duration;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -14,6 +15,8 @@
 /** Listens for HTTP requests and hands each to a {@link WebHandler} on a virtual thread of its own. */
 public final class WebServer implements AutoCloseable {
 
+    private static final Duration LONGEST_SILENCE = Duration.ofMinutes(5);
+
     private final RatpackServer server;
     private final ExecutorService threads;
     private final HostPort address;
@@ -42,6 +45,7 @@
                             .address(bind.socketAddress().getAddress())
                             .port(bind.port())
                             .threads(eventLoops)
+                            .idleTimeout(LONGEST_SILENCE)
                             .maxContentLength(maxBodyBytes)
                             .development(false))
                     .handlers(chain -> chain.all(dispatcher)));
