--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/BenchCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/BenchCommand.java
@@ -16,6 +16,8 @@
 import org.mangoridge.bench.BenchRun;
 import org.mangoridge.bench.RunLock;
 import org.mangoridge.bench.scenario.Scenario;
+import org.mangoridge.bench.slope.Slope;
+import org.mangoridge.bench.slope.SlopeMeasurements;
 import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.routing.PolicyName;
 
@@ -50,19 +52,19 @@
                 .addOption(null, "seconds", true, "how long load lasts, over all policies (default 60)")
                 .addOption(null, "policy", true, "baseline or current (default both, in turn)")
                 .addOption(null, "json", false, "print one JSON object a line for each policy and class")
+                .addOption(null, "slopes", false, "print how costs grow with the size of the system, without load")
                 .addOption(null, "chart", false, "print goodput against load, at " + CHART_LOADS + " of capacity");
     }
 
     @Override
     public ExitCode run(Invocation invocation) {
-        BenchOptions options = benchOptions(invocation);
         LOGGERS.forEach(logger -> logger.setLevel(Level.OFF));
         try (RunLock lock = RunLock.tryTake().orElse(null)) {
             if (lock == null) {
                 invocation.err().println("another measured run is in progress on this machine");
                 return ExitCode.FAILED;
             }
-            measure(invocation, options);
+            measure(invocation);
             return ExitCode.DONE;
         } catch (IOException e) {
             invocation.err().println("the lock file can't be used: " + e.getMessage());
@@ -73,7 +75,12 @@
         }
     }
 
-    private static void measure(Invocation invocation, BenchOptions options) throws InterruptedException {
+    private static void measure(Invocation invocation) throws InterruptedException {
+        if (invocation.has("slopes")) {
+            SlopeMeasurements.create(SystemClock.instance()).measure().forEach(slope -> print(invocation, slope));
+            return;
+        }
+        BenchOptions options = benchOptions(invocation);
         BenchRun run = BenchRun.create(options, SystemClock.instance());
         BenchReport report = new BenchReport(options, invocation.out());
         if (invocation.has("chart")) {
@@ -85,6 +92,14 @@
         }
     }
 
+    private static void print(Invocation invocation, Slope slope) {
+        invocation.out().println(slope.cost() + ", by " + slope.size());
+        for (Slope.Point point : slope.points()) {
+            invocation.out().printf(Locale.ROOT, "  %10.0f %12.2f%n", point.size(), point.cost());
+        }
+        invocation.out().printf(Locale.ROOT, "  each more %12.4f, at none %.2f%n", slope.perUnit(), slope.atZero());
+    }
+
     private static BenchOptions benchOptions(Invocation invocation) {
         String name = invocation.requiredOption("scenario");
         Scenario scenario = Scenario.named(name)
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -39,6 +39,7 @@
 import org.mangoridge.entry.lifecycle.Drain;
 import org.mangoridge.entry.lifecycle.DrainEndpoint;
 import org.mangoridge.entry.lifecycle.DrainState;
+import org.mangoridge.entry.metrics.InstanceGauges;
 import org.mangoridge.entry.model.CancelSender;
 import org.mangoridge.entry.model.LoadPoller;
 import org.mangoridge.entry.model.ModelRequestHandler;
@@ -227,6 +228,11 @@
     }
 
     private void startServers() {
+        InstanceGauges.in(metrics)
+                .withCost(control.thread())
+                .with("config.generation", () -> config().generation().value())
+                .with("peers.live", () -> peers.view().live().size())
+                .with("requests.open", () -> callerServer == null ? 0 : callerServer.openRequests());
         control.every(TICK, () -> driver.tell(new RoutingEvent.Tick()));
         own(LoadPoller.start(engines, driver, clock, () -> config().deployment()));
         CancelSender cancels = own(CancelSender.create(engines));
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/control/ControlLoop.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/control/ControlLoop.java
@@ -23,9 +23,14 @@
 
     private final ScheduledThreadPoolExecutor executor;
 
+    private volatile Thread thread;
+
     private ControlLoop(String name) {
-        executor = new ScheduledThreadPoolExecutor(
-                1, task -> Thread.ofPlatform().name(name).daemon(true).unstarted(task));
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
+            thread = Thread.ofPlatform().name(name).daemon(true).unstarted(task);
+            return thread;
+        });
+        executor.prestartAllCoreThreads();
         executor.setRemoveOnCancelPolicy(true);
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
@@ -35,6 +40,11 @@
         return new ControlLoop(Checks.notBlank(name, "name"));
     }
 
+    /** Returns the thread that runs the tasks. */
+    public Thread thread() {
+        return thread;
+    }
+
     /** Runs {@code task} soon; dropped after the loop has closed. */
     public void post(Runnable task) {
         try {
