--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/InForceWait.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/InForceWait.java
@@ -6,6 +6,7 @@
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.entry.config.ConfigMessages;
 
 /** Waits until a generation is in force at every instance that an instance knows. */
 final class InForceWait {
@@ -27,10 +28,12 @@
         Duration start = clock.elapsed();
         List<String> lagging = List.of("the instance asked");
         while (clock.elapsed().minus(start).compareTo(longest) < 0) {
-            Result<StatusCommand.Status, OperatorClient.CallFailure> status =
-                    client.get("/status", StatusCommand.Status.class);
-            if (status.isOk()) {
-                lagging = status.value().behind(generation);
+            Result<ConfigMessages.Behind, OperatorClient.CallFailure> behind =
+                    client.get("/config/behind?generation=" + generation, ConfigMessages.Behind.class);
+            if (behind.isOk()) {
+                lagging = behind.value().instances().stream()
+                        .map(instance -> instance.instance() + " (" + instance.generation() + ")")
+                        .toList();
             }
             if (lagging.isEmpty()) {
                 Duration taken = clock.elapsed().minus(start);
--- a/mangoridge-config/src/test/java/org/mangoridge/config/spread/OfferSizeTest.java
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/spread/OfferSizeTest.java
@@ -50,7 +50,7 @@
                         + " %d MB by changes against %d MB by wholes, and %d MB for %d starts either way%n",
                 WORKSPACES,
                 whole,
-                changed / CHANGES_A_DAY,
+                changed / SAMPLED_CHANGES,
                 INSTANCES,
                 changesADay >> 20,
                 wholesADay >> 20,
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -275,7 +275,8 @@
                 Publisher.create(operatorStore, refusals, clock),
                 AuditPages.create(operatorStore),
                 () -> follower.published(),
-                settings.id().value());
+                settings.id().value(),
+                PeerConfigs.of(() -> peers));
     }
 
     private ObjectStore storeFor(CallPurpose purpose) {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigEndpoint.java
@@ -1,5 +1,7 @@
 package org.mangoridge.entry.config;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -7,7 +9,9 @@
 import org.mangoridge.config.ApplyRequest;
 import org.mangoridge.config.PublishedConfig;
 import org.mangoridge.config.Publisher;
+import org.mangoridge.config.spread.ConfigPeers;
 import org.mangoridge.core.Result;
+import org.mangoridge.core.id.Generation;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.http.Json;
 import org.mangoridge.platform.StoreFailure;
@@ -24,18 +28,21 @@
     private final AuditPages audit;
     private final Supplier<PublishedConfig> known;
     private final String instance;
+    private final LaggingPeers lagging;
 
     private ConfigEndpoint(
             OperatorAuthenticator operators,
             Publisher publisher,
             AuditPages audit,
             Supplier<PublishedConfig> known,
-            String instance) {
+            String instance,
+            LaggingPeers lagging) {
         this.operators = operators;
         this.publisher = publisher;
         this.audit = audit;
         this.known = known;
         this.instance = instance;
+        this.lagging = lagging;
     }
 
     /**
@@ -43,14 +50,16 @@
      *
      * @param known the configuration that this instance has in force
      * @param instance this instance's name, which the audit trail states
+     * @param peers the other instances
      */
     public static ConfigEndpoint create(
             OperatorAuthenticator operators,
             Publisher publisher,
             AuditPages audit,
             Supplier<PublishedConfig> known,
-            String instance) {
-        return new ConfigEndpoint(operators, publisher, audit, known, instance);
+            String instance,
+            ConfigPeers peers) {
+        return new ConfigEndpoint(operators, publisher, audit, known, instance, new LaggingPeers(peers));
     }
 
     /** Tells whether {@code path} is answered here. */
@@ -68,6 +77,7 @@
             case "POST /config/apply" -> apply(request, operator.get());
             case "POST /config/diff" -> diff(request);
             case "POST /config/ask" -> ask(request);
+            case "GET /config/behind" -> behind(request);
             case "GET /audit" -> audit.page(request, known.get().manifest());
             default -> WebReply.json(404, ErrorBody.of("not_found", "nothing is served at this method and path"));
         };
@@ -110,6 +120,23 @@
         return id.isOk() ? WebReply.json(200, publisher.ask(id.value())) : malformed(id.error());
     }
 
+    private WebReply behind(WebRequest request) {
+        String wanted = request.queryValue("generation").orElse("");
+        if (!wanted.matches("[0-9]{1,18}")) {
+            return malformed("expected generation=NUMBER");
+        }
+        Generation generation = Generation.of(Long.parseLong(wanted));
+        List<ConfigMessages.Lagging> instances = new ArrayList<>();
+        if (generation.isAfter(known.get().generation())) {
+            instances.add(
+                    new ConfigMessages.Lagging(instance, known.get().manifest().generation()));
+        }
+        lagging.behind(generation)
+                .forEach(peer -> instances.add(new ConfigMessages.Lagging(
+                        peer.instance().value(), peer.generation().value())));
+        return WebReply.json(200, new ConfigMessages.Behind(instances));
+    }
+
     private static Result<ApplyId, String> applyId(String text) {
         try {
             return Result.ok(ApplyId.of(text));
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigMessages.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigMessages.java
@@ -34,6 +34,26 @@
      */
     public record Ask(String id) {}
 
+    /**
+     * An instance that lags behind.
+     *
+     * @param instance its name
+     * @param generation what it has in force
+     */
+    public record Lagging(String instance, long generation) {}
+
+    /**
+     * The answer to {@code GET /config/behind}.
+     *
+     * @param instances the instances that have not adopted the generation asked for
+     */
+    public record Behind(List<Lagging> instances) {
+
+        public Behind {
+            instances = instances == null ? List.of() : List.copyOf(instances);
+        }
+    }
+
     /**
      * One entry of the answer to {@code GET /audit}.
      *
