Leave an instance's own pause out of its servers' silence

Ruled out: a lost token (the stream ended with its refusal). Change: a gap of a second or more between events, which come with every 20 ms tick, is a pause of this instance and does not count as silence of its servers. RoutingFixture.pass now ticks as a running instance does; pause moves time on alone. Measured: RetryTest.anInstanceThatWasPausedPlacesItsBrokenAttemptsAgain fails without the change and passes with it.

--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/DefaultRoutingPolicy.java
@@ -26,6 +26,9 @@
  */
 public final class DefaultRoutingPolicy implements RoutingPolicy {
 
+    /** A gap between events, which come at least with every tick, that only a pause of this instance explains. */
+    private static final long OWN_PAUSE_NANOS = Duration.ofMillis(1000).toNanos();
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_ATTEMPTS_TO_RESUME = 8;
@@ -54,6 +57,7 @@
     private final AttemptTracker attempts;
     private final Admission admission;
     private long upkeepNanos;
+    private long lastEventNanos = Long.MIN_VALUE;
 
     private DefaultRoutingPolicy(AvailabilityZone ownZone, RandomGenerator random) {
         this.random = random;
@@ -70,6 +74,7 @@
     @Override
     public List<RoutingAction> on(RoutingEvent event, Duration now) {
         long nowNanos = now.toNanos();
+        forgiveOwnPause(nowNanos);
         List<RoutingAction> actions = new ArrayList<>(1);
         switch (event) {
             case RoutingEvent.RequestArrived arrived -> arrived(arrived.facts(), nowNanos, actions);
@@ -115,6 +120,15 @@
         return actions;
     }
 
+    /** Reports that came due while this instance did not run say nothing of their servers. */
+    private void forgiveOwnPause(long nowNanos) {
+        long gapNanos = lastEventNanos == Long.MIN_VALUE ? 0 : nowNanos - lastEventNanos;
+        lastEventNanos = nowNanos;
+        if (gapNanos >= OWN_PAUSE_NANOS) {
+            servers.all().forEach(server -> server.health().instancePaused(gapNanos));
+        }
+    }
+
     private void arrived(RequestFacts facts, long nowNanos, List<RoutingAction> actions) {
         budget.requestArrived();
         ServiceState service = service(facts.service());
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerHealth.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerHealth.java
@@ -54,6 +54,13 @@
         }
     }
 
+    /** Leaves the time that this instance did not run out of the server's silence. */
+    void instancePaused(long gapNanos) {
+        if (reportedNanos != Long.MIN_VALUE) {
+            reportedNanos += gapNanos;
+        }
+    }
+
     /** Notes that a report was asked for in vain. */
     void reportMissed() {
         missedReports++;
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
@@ -51,6 +51,17 @@
                 .isEmpty();
     }
 
+    /** The servers' reports are as old as the pause, which says nothing of the servers. */
+    @Test
+    void anInstanceThatWasPausedPlacesItsBrokenAttemptsAgain() {
+        RoutingFixture fixture = fixture(2);
+        AttemptId first =
+                RoutingFixture.placed(fixture.send("counter", 16, 200)).attempt();
+        fixture.pause(Duration.ofSeconds(6));
+        List<RoutingAction> actions = fixture.fail(first, FailureKind.BROKEN, Verdict.RAN, 2);
+        assertThat(RoutingFixture.placed(actions).attempt()).isEqualTo(first.next());
+    }
+
     @Test
     void retriesStayUnderATenthOfTheLoad() {
         RoutingFixture fixture = fixture(4);
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/RoutingFixture.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/RoutingFixture.java
@@ -111,8 +111,17 @@
         return actions;
     }
 
-    /** Moves time on without an event. */
+    /** Moves time on in ticks, without reports. */
     void pass(Duration step) {
+        Duration end = now().plus(step);
+        while (now().compareTo(end) < 0) {
+            clock.advance(Duration.ofMillis(20));
+            tell(new RoutingEvent.Tick());
+        }
+    }
+
+    /** Moves time on without any event, as while this instance is paused. */
+    void pause(Duration step) {
         clock.advance(step);
     }
 
