Keep the worst verdict when a wait for the next attempt ends

Cause: an interruption or a deadline while the next attempt was decided was answered not-run, although an earlier attempt might have run; found by reading. Change: the wait ends with the worst verdict of the attempts so far. Verdict.worse serves routing and the handler, which had it twice. Conclusion: such a refusal says no less than what is known. No test causes this interruption yet.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/verdict/Verdict.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/verdict/Verdict.java
@@ -19,4 +19,9 @@
     public String text() {
         return text;
     }
+
+    /** Returns the one of both that says more of the request ran. */
+    public Verdict worse(Verdict other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
 }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/model/ModelRequestHandler.java
@@ -95,7 +95,8 @@
                             RefusalReason.UNKNOWN_SERVICE, "there is no model service named " + request.service()));
         }
         RequestFacts facts = facts(id, caller, deployment, service, request);
-        Result<RoutingDriver.Start, Refusal> first = await(facts, web.disconnect(), driver.arrived(facts));
+        Result<RoutingDriver.Start, Refusal> first =
+                await(facts, web.disconnect(), driver.arrived(facts), Verdict.NOT_RUN);
         return switch (first) {
             case Result.Err<RoutingDriver.Start, Refusal> err
             when web.disconnect().isGone() -> {
@@ -129,7 +130,10 @@
 
     /** Waits for a decision; a caller that goes meanwhile ends the wait and is forgotten by routing. */
     private Result<RoutingDriver.Start, Refusal> await(
-            RequestFacts facts, Disconnect caller, CompletableFuture<Result<RoutingDriver.Start, Refusal>> decision) {
+            RequestFacts facts,
+            Disconnect caller,
+            CompletableFuture<Result<RoutingDriver.Start, Refusal>> decision,
+            Verdict soFar) {
         caller.onGone(() -> {
             if (decision.complete(Result.err(CALLER_GONE))) {
                 driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
@@ -140,11 +144,11 @@
             return decision.get(Math.max(1, remaining.toMillis()), TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
-            return Result.err(Refusal.notRun(RefusalReason.DEADLINE, "the deadline passed in the queue"));
+            return Result.err(Refusal.of(RefusalReason.DEADLINE, soFar, "the deadline passed in the queue"));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             driver.tell(new RoutingEvent.RequestAbandoned(facts.id()));
-            return Result.err(Refusal.notRun(RefusalReason.DRAINING, "the instance is stopping"));
+            return Result.err(Refusal.of(RefusalReason.DRAINING, soFar, "the instance is stopping"));
         } catch (ExecutionException e) {
             throw new IllegalStateException(e.getCause());
         }
@@ -172,6 +176,7 @@
         private final AnswerFormat format;
         private final WebRequest web;
         private final AttemptContext context;
+        private Verdict worst = Verdict.NOT_RUN;
 
         private Exchange(
                 RequestFacts facts, ModelRequest request, Deployment deployment, Service service, WebRequest web) {
@@ -186,11 +191,10 @@
 
         /** Waits for the first token before the status is chosen, so that a refusal has its own. */
         private WebReply answer(RoutingDriver.Start start) {
-            Generation generation = new Generation(
-                    context,
-                    driver,
-                    start,
-                    (attempt, failed) -> await(facts, web.disconnect(), driver.failed(attempt, failed)));
+            Generation generation = new Generation(context, driver, start, (attempt, failed) -> {
+                worst = worst.worse(failed.outputTokens() > 0 ? Verdict.RAN : failed.verdict());
+                return await(facts, web.disconnect(), driver.failed(attempt, failed), worst);
+            });
             web.disconnect().onGone(generation::callerGone);
             Generation.Step step = generation.next();
             if (step instanceof Generation.Token token && request.stream()) {
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/TrackedRequest.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/TrackedRequest.java
@@ -134,7 +134,7 @@
     void failed(AttemptOutcome.Failed failed) {
         failures++;
         outputTokens = Math.max(outputTokens, failed.outputTokens());
-        verdict = worse(verdict, outputTokens > 0 ? Verdict.RAN : failed.verdict());
+        verdict = verdict.worse(outputTokens > 0 ? Verdict.RAN : failed.verdict());
         if (avoided.size() >= MAX_AVOIDED) {
             avoided.remove(0);
         }
@@ -145,8 +145,4 @@
     double ageSeconds(long nowNanos) {
         return (nowNanos - facts.arrived().toNanos()) / NANOS_PER_SECOND;
     }
-
-    private static Verdict worse(Verdict one, Verdict two) {
-        return one.compareTo(two) >= 0 ? one : two;
-    }
 }
