Import what was named in full, and name a replaced value for what it is

Cause: sixteen files named library types in full in the middle of a line; MergedSections.Override hid the annotation of the same name. Change: imports; Replacement.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -1,6 +1,8 @@
 package org.mangoridge.cli;
 
 import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.logging.Level;
@@ -108,7 +110,7 @@
     }
 
     private static void printHelp(Command command, Options options, PrintStream out) {
-        java.io.PrintWriter writer = new java.io.PrintWriter(out, true, java.nio.charset.StandardCharsets.UTF_8);
+        PrintWriter writer = new PrintWriter(out, true, StandardCharsets.UTF_8);
         String usage = ("mangoridge " + command.name() + " [OPTIONS] " + command.arguments()).trim();
         new HelpFormatter().printHelp(writer, HELP_WIDTH, usage, command.summary(), options, 2, 2, "");
         writer.flush();
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/CheckCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/CheckCommand.java
@@ -49,7 +49,7 @@
             return reject(invocation, merged.error());
         }
         merged.value().sections().forEach(section -> print(invocation, section));
-        for (MergedSections.Override override : merged.value().overrides()) {
+        for (MergedSections.Replacement override : merged.value().overrides()) {
             invocation
                     .out()
                     .printf(
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/demo/DemoSystem.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.SplittableRandom;
 
 import org.mangoridge.config.ApplyId;
@@ -60,13 +61,13 @@
         config.append(server("orders-1", orders.address(), "plain", "orderdesk"));
         HttpTransport transport = own(HttpTransport.create(TIMEOUT));
         ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
-        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new java.util.Random(SEED)), clock)
+        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new Random(SEED)), clock)
                 .applyText(ApplyId.of("demo-1"), "demo", config.toString());
         instance = own(EntryInstance.start(
                 settings(platform.address()),
                 RoutingPolicies.create(PolicyName.CURRENT, ZONE, new SplittableRandom(SEED)),
                 clock,
-                new java.util.Random(SEED)));
+                new Random(SEED)));
     }
 
     static DemoSystem start() {
--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/serving/ServingFixture.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/serving/ServingFixture.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
@@ -60,7 +61,7 @@
                     .formatted(name, engine.address(), role));
         }
         ObjectStore store = HttpObjectStore.create(transport, platform.address(), TIMEOUT);
-        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new java.util.Random(seed)), clock)
+        Publisher.create(store, AuditLog.create(store, AuditLog.REFUSALS, new Random(seed)), clock)
                 .applyText(ApplyId.of("test-1"), "test", config.toString());
         InstanceSettings settings = new InstanceSettings(
                 InstanceId.of("entry-1"),
@@ -78,7 +79,7 @@
                 settings,
                 RoutingPolicies.create(PolicyName.CURRENT, ZONE, new SplittableRandom(seed)),
                 clock,
-                new java.util.Random(seed)));
+                new Random(seed)));
         await("the configuration", () -> transport
                 .send(HttpCall.get(operatorAddress().httpUri("/ready"), TIMEOUT))
                 .value()
--- a/mangoridge-config/src/test/java/org/mangoridge/config/spread/AdoptionTest.java
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/spread/AdoptionTest.java
@@ -11,6 +11,7 @@
 import org.mangoridge.config.ConfigRepository.Head;
 import org.mangoridge.config.PublishedConfig;
 import org.mangoridge.config.Samples;
+import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.standin.platform.LocalObjectStore;
 
@@ -64,8 +65,7 @@
 
     @Test
     void peerThatIsSaidToBeAheadButHasNothingNewerIsNotAskedWithoutPause() {
-        ConfigPeers.PeerGeneration ahead =
-                new ConfigPeers.PeerGeneration(PEER, org.mangoridge.core.id.Generation.of(7));
+        ConfigPeers.PeerGeneration ahead = new ConfigPeers.PeerGeneration(PEER, Generation.of(7));
         ConfigPeers.View view =
                 new ConfigPeers.View(List.of(SELF, PEER), List.of(PEER), Optional.of(ahead), List.of(ahead));
         assertThat(asks(on(new AgentEvent.Tick(view)))).isTrue();
--- a/mangoridge-config/src/test/java/org/mangoridge/config/spread/Fleet.java
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/spread/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
 import org.mangoridge.config.ApplyId;
 import org.mangoridge.config.ConfigRepository.Head;
@@ -244,7 +245,7 @@
         }
     }
 
-    private void call(Node node, int run, java.util.function.Supplier<AgentEvent> answer) {
+    private void call(Node node, int run, Supplier<AgentEvent> answer) {
         callsBySecond.merge(now.toSeconds(), 1, Integer::sum);
         at(now.plus(LATENCY), () -> tell(node, run, outage ? new AgentEvent.PlatformFailed("out") : answer.get()));
     }
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/peers/PeerNodeTest.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/peers/PeerNodeTest.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -84,7 +87,7 @@
     }
 
     private void awaitCounted(String... names) throws InterruptedException {
-        java.util.Set<InstanceId> missing = new java.util.HashSet<>();
+        Set<InstanceId> missing = new HashSet<>();
         for (String name : names) {
             missing.add(InstanceId.of(name));
         }
@@ -136,8 +139,7 @@
                 random,
                 known -> known.isAfter(Generation.of(3))
                         ? PeerConfig.nothingNewer(Generation.of(4))
-                        : new PeerConfig(
-                                Generation.of(4), java.util.Optional.of(new PeerConfig.Content("hash", "text"))),
+                        : new PeerConfig(Generation.of(4), Optional.of(new PeerConfig.Content("hash", "text"))),
                 InFlightCounter.around(BaselinePolicy.create(random)),
                 listener));
     }
--- a/mangoridge-orders/src/test/java/org/mangoridge/orders/plan/OrderMachineTest.java
+++ b/mangoridge-orders/src/test/java/org/mangoridge/orders/plan/OrderMachineTest.java
@@ -1,6 +1,7 @@
 package org.mangoridge.orders.plan;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -133,7 +134,7 @@
         }
         assertWithMessage("seed " + seed)
                 .that(engines.values())
-                .containsExactlyElementsIn(java.util.Collections.nCopies(5, facts(ServerRole.DECODE, "2")));
+                .containsExactlyElementsIn(Collections.nCopies(5, facts(ServerRole.DECODE, "2")));
     }
 
     private void carryOut(
--- a/mangoridge-peer/src/main/java/org/mangoridge/peer/membership/PeerView.java
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/membership/PeerView.java
@@ -1,8 +1,10 @@
 package org.mangoridge.peer.membership;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
@@ -50,10 +52,10 @@
     }
 
     private static List<Member> working(Collection<Sighting> sightings, Member self) {
-        return java.util.stream.Stream.concat(
-                        java.util.stream.Stream.of(self),
+        return Stream.concat(
+                        Stream.of(self),
                         sightings.stream().filter(Sighting::mayWork).map(Sighting::member))
-                .sorted(java.util.Comparator.comparing(Member::id))
+                .sorted(Comparator.comparing(Member::id))
                 .toList();
     }
 }
--- a/mangoridge-peer/src/test/java/org/mangoridge/peer/membership/FleetCost.java
+++ b/mangoridge-peer/src/test/java/org/mangoridge/peer/membership/FleetCost.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToIntFunction;
+import java.util.stream.IntStream;
 
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.Generation;
@@ -58,7 +59,7 @@
         long messages =
                 fleet.running().stream().mapToLong(node -> node.sentMessages).sum();
         double nodeSeconds = size * seconds(SPAN);
-        List<Double> detections = java.util.stream.IntStream.range(0, Math.min(KILLS, size / zones - 1))
+        List<Double> detections = IntStream.range(0, Math.min(KILLS, size / zones - 1))
                 .mapToObj(number -> detection(fleet, number * zones))
                 .sorted()
                 .toList();
--- a/mangoridge-peer/src/test/java/org/mangoridge/peer/membership/MembershipTest.java
+++ b/mangoridge-peer/src/test/java/org/mangoridge/peer/membership/MembershipTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -188,7 +189,7 @@
                 new MembershipEvent.Received(new GossipMessage(
                         new Sighting(fleet.node(4).member, 0, Liveness.ALIVE),
                         fleet.node(4).view().others(),
-                        java.util.Map.of(),
+                        Map.of(),
                         0,
                         true)),
                 answer -> {});
--- a/mangoridge-peer/src/test/java/org/mangoridge/peer/rpc/PeerServerTest.java
+++ b/mangoridge-peer/src/test/java/org/mangoridge/peer/rpc/PeerServerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.Result;
@@ -101,7 +102,7 @@
     }
 
     static GossipMessage message(int known) {
-        List<Sighting> sightings = java.util.stream.IntStream.range(0, known)
+        List<Sighting> sightings = IntStream.range(0, known)
                 .mapToObj(number -> sighting("entry-" + number))
                 .toList();
         return new GossipMessage(sighting("sender"), sightings, Map.of(ServerId.of("decode-1"), 7), 42, false);
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Deployment.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/Deployment.java
@@ -1,6 +1,7 @@
 package org.mangoridge.settings.deployment;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -97,6 +98,6 @@
     private static <K, V> Map<K, V> index(Collection<V> values, Function<V, K> key) {
         Map<K, V> index = new LinkedHashMap<>();
         values.forEach(value -> index.put(key.apply(value), value));
-        return java.util.Collections.unmodifiableMap(index);
+        return Collections.unmodifiableMap(index);
     }
 }
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/DeploymentParser.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/DeploymentParser.java
@@ -16,6 +16,7 @@
 import org.mangoridge.core.id.WorkspaceId;
 import org.mangoridge.settings.ini.IniFile;
 import org.mangoridge.settings.ini.IniSection;
+import org.mangoridge.settings.ini.Origin;
 import org.mangoridge.settings.ini.Problem;
 import org.mangoridge.settings.ini.SectionReader;
 import org.mangoridge.settings.ini.Values;
@@ -161,7 +162,7 @@
                 .filter(service -> service.id().equals(server.service()))
                 .filter(service -> (service.kind() == ServiceKind.PLAIN) != (server.role() == ServerRole.PLAIN))
                 .forEach(service -> problems.add(new Problem(
-                        new org.mangoridge.settings.ini.Origin("server " + server.id(), 0),
+                        new Origin("server " + server.id(), 0),
                         "role",
                         "a server of a plain service has the role plain, and only it")));
     }
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/MergedSections.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/deployment/MergedSections.java
@@ -1,6 +1,7 @@
 package org.mangoridge.settings.deployment;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,7 @@
  * @param sections the merged sections
  * @param overrides every value that a later file replaced
  */
-public record MergedSections(List<IniSection> sections, List<Override> overrides) {
+public record MergedSections(List<IniSection> sections, List<Replacement> overrides) {
 
     /**
      * A value that a later file replaced.
@@ -23,13 +24,13 @@
      * @param earlier what was replaced
      * @param later what replaced it
      */
-    public record Override(String heading, IniEntry earlier, IniEntry later) {}
+    public record Replacement(String heading, IniEntry earlier, IniEntry later) {}
 
     /** Merges the sections of {@code files}, each file's list in its order. */
     public static MergedSections merge(List<List<IniSection>> files) {
         Map<String, Map<String, IniEntry>> merged = new LinkedHashMap<>();
         Map<String, IniSection> first = new LinkedHashMap<>();
-        List<Override> overrides = new ArrayList<>();
+        List<Replacement> overrides = new ArrayList<>();
         for (List<IniSection> file : files) {
             for (IniSection section : file) {
                 first.putIfAbsent(section.heading(), section);
@@ -47,11 +48,11 @@
         return new MergedSections(sections, overrides);
     }
 
-    private static void mergeSection(IniSection section, Map<String, IniEntry> entries, List<Override> overrides) {
+    private static void mergeSection(IniSection section, Map<String, IniEntry> entries, List<Replacement> overrides) {
         for (IniEntry entry : section.entries()) {
             IniEntry earlier = entries.put(entry.key(), entry);
             if (earlier != null) {
-                overrides.add(new Override(section.heading(), earlier, entry));
+                overrides.add(new Replacement(section.heading(), earlier, entry));
             }
         }
     }
@@ -60,19 +61,17 @@
     public String canonicalText() {
         StringBuilder text = new StringBuilder();
         sections.stream()
-                .sorted(java.util.Comparator.comparing(IniSection::heading))
+                .sorted(Comparator.comparing(IniSection::heading))
                 .forEach(section -> appendSection(text, section));
         return text.toString();
     }
 
     private static void appendSection(StringBuilder text, IniSection section) {
         text.append('[').append(section.heading()).append("]\n");
-        section.entries().stream()
-                .sorted(java.util.Comparator.comparing(IniEntry::key))
-                .forEach(entry -> text.append(entry.key())
-                        .append(" = ")
-                        .append(entry.value())
-                        .append('\n'));
+        section.entries().stream().sorted(Comparator.comparing(IniEntry::key)).forEach(entry -> text.append(entry.key())
+                .append(" = ")
+                .append(entry.value())
+                .append('\n'));
         text.append('\n');
     }
 }
--- a/mangoridge-settings/src/main/java/org/mangoridge/settings/ini/Values.java
+++ b/mangoridge-settings/src/main/java/org/mangoridge/settings/ini/Values.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -100,6 +101,6 @@
 
     /** Returns the name of an enum constant as settings write it. */
     public static String choiceName(Enum<?> constant) {
-        return constant.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/LocalObjectStore.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/LocalObjectStore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
@@ -137,7 +138,7 @@
                         .toList());
     }
 
-    private synchronized WriteOutcome change(java.util.function.Supplier<Optional<Long>> write) {
+    private synchronized WriteOutcome change(Supplier<Optional<Long>> write) {
         if (faults.isOut()) {
             return new WriteOutcome.Unknown(OUT.detail());
         }
