Enter who told an instance to shut down into the audit trail

Cause: a drain logged the operator's name and left no entry, although the trail has the kind for it. Measured: DrainAuditTest reads the entry back from the trail, whose chain verifies. Conclusion: drains are audited; a drain by SIGTERM has no operator and no entry.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -59,7 +59,7 @@
     LEASE_LOST(802, Level.INFO, "lease lost"),
     /** An order to an engine was answered or given up. */
     ORDER_GIVEN(803, Level.INFO, "order given"),
-    /** An order is not known to stand in the audit trail. */
+    /** An order or a drain is not known to stand in the audit trail. */
     AUDIT_INCOMPLETE(804, Level.WARNING, "audit entry not kept");
 
     private static final String PREFIX = "MR-";
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/EntryInstance.java
@@ -37,6 +37,7 @@
 import org.mangoridge.entry.config.ConfigInForce;
 import org.mangoridge.entry.control.ControlLoop;
 import org.mangoridge.entry.lifecycle.Drain;
+import org.mangoridge.entry.lifecycle.DrainAudit;
 import org.mangoridge.entry.lifecycle.DrainEndpoint;
 import org.mangoridge.entry.lifecycle.DrainState;
 import org.mangoridge.entry.metrics.InstanceGauges;
@@ -250,6 +251,7 @@
                 () -> callerServer == null ? 0 : callerServer.openRequests(),
                 new DrainEffects());
         CallerEndpoint callers = new CallerEndpoint(RequestIds.of(owner), this::config, drain::phase, models, plain);
+        DrainAudit drainAudit = DrainAudit.create(audit, owner, clock, Thread::startVirtualThread);
         OperatorEndpoint operators = new OperatorEndpoint(
                 owner,
                 this::config,
@@ -259,7 +261,7 @@
                 () -> follower,
                 peers::view,
                 drain::phase,
-                DrainEndpoint.create(drain, OperatorAuthenticator.of(settings.operators())));
+                DrainEndpoint.create(drain, OperatorAuthenticator.of(settings.operators()), drainAudit));
         operatorServer = own(
                 WebServer.start(settings.operatorAddress(), MAX_OPERATOR_BODY_BYTES, OPERATOR_EVENT_LOOPS, operators));
         callerServer =
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/lifecycle/DrainEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/lifecycle/DrainEndpoint.java
@@ -24,15 +24,17 @@
 
     private final Drain drain;
     private final OperatorAuthenticator operators;
+    private final DrainAudit audit;
 
-    private DrainEndpoint(Drain drain, OperatorAuthenticator operators) {
+    private DrainEndpoint(Drain drain, OperatorAuthenticator operators, DrainAudit audit) {
         this.drain = drain;
         this.operators = operators;
+        this.audit = audit;
     }
 
     /** Returns an endpoint for the given operators. */
-    public static DrainEndpoint create(Drain drain, OperatorAuthenticator operators) {
-        return new DrainEndpoint(drain, operators);
+    public static DrainEndpoint create(Drain drain, OperatorAuthenticator operators, DrainAudit audit) {
+        return new DrainEndpoint(drain, operators, audit);
     }
 
     /** Answers a request of {@link #PATH}. */
@@ -43,6 +45,7 @@
                 return WebReply.json(
                         401, ErrorBody.of("bad_token", "the token is missing or unknown: Bearer NAME.SECRET"));
             }
+            audit.asked(operator.get());
             drain.request(operator.get());
             return WebReply.json(202, progress());
         }
