Give every counter in /metrics from the start on

A counter was registered when it first counted, so that an instance that had refused nothing had no mangoridge_requests_refused_total: a rate over it, or an alert on it, missed the first refusals, and nobody could tell an absent metric from a misspelt one. AccountLedger now registers its four counters when it is made.

--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/accounts/AccountLedger.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/accounts/AccountLedger.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import org.mangoridge.core.id.AttemptId;
 import org.mangoridge.core.id.CallerId;
@@ -23,33 +24,45 @@
 public final class AccountLedger {
 
     private final ControlLoop control;
-    private final MetricRegistry metrics;
     private final Clock clock;
+    private final Counter served;
+    private final Counter refused;
+    private final Counter abandoned;
+    private final Counter outputTokens;
     private final CallerAccounts accounts = CallerAccounts.create();
     private final ServerAccounts servers = ServerAccounts.create();
     private final RefusalAccounts refusals = RefusalAccounts.create();
 
     private AccountLedger(ControlLoop control, MetricRegistry metrics, Clock clock) {
         this.control = control;
-        this.metrics = metrics;
         this.clock = clock;
+        served = metrics.counter("requests.served");
+        refused = metrics.counter("requests.refused");
+        abandoned = metrics.counter("requests.abandoned");
+        outputTokens = metrics.counter("tokens.output");
     }
 
-    /** Returns an empty ledger whose accounts only the control thread touches. */
+    /**
+     * Returns an empty ledger whose accounts only the control thread touches.
+     *
+     * @param control the thread that keeps the accounts
+     * @param metrics where the counters of requests and tokens stand from now on, at 0 until something is counted
+     * @param clock tells when use begins and ends
+     */
     public static AccountLedger create(ControlLoop control, MetricRegistry metrics, Clock clock) {
         return new AccountLedger(control, metrics, clock);
     }
 
     /** Records a request that was answered whole. */
-    public void served(CallerId caller, int promptTokens, int outputTokens) {
-        metrics.counter("requests.served").inc();
-        metrics.counter("tokens.output").inc(outputTokens);
-        control.post(() -> accounts.record(caller, use -> use.plusServed(promptTokens, outputTokens)));
+    public void served(CallerId caller, int promptTokens, int generatedTokens) {
+        served.inc();
+        outputTokens.inc(generatedTokens);
+        control.post(() -> accounts.record(caller, use -> use.plusServed(promptTokens, generatedTokens)));
     }
 
     /** Records a request that was refused. */
     public void refused(CallerId caller) {
-        metrics.counter("requests.refused").inc();
+        refused.inc();
         control.post(() -> accounts.record(caller, CallerUse::plusRefused));
     }
 
@@ -77,9 +90,9 @@
     }
 
     /** Records a request whose caller went. */
-    public void abandoned(CallerId caller, int outputTokens) {
-        metrics.counter("requests.abandoned").inc();
-        control.post(() -> accounts.record(caller, use -> use.plusAbandoned(outputTokens)));
+    public void abandoned(CallerId caller, int generatedTokens) {
+        abandoned.inc();
+        control.post(() -> accounts.record(caller, use -> use.plusAbandoned(generatedTokens)));
     }
 
     /** Gives the use of every caller so far. */
