Leave dead and stopped instances out of the peers of status

Both now count the same instances. /peers still shows all.

LostInstanceTest asks a survivor of a killed instance: before the change its status still named the dead one after 30 s (the test's limit); after it the test passes.

--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/process/LostInstanceTest.java
@@ -47,11 +47,18 @@
                 System.out.println("killed-instance freed after " + freed.toMillis() + " ms");
                 assertThat(freed).isLessThan(FREED_BOUND);
             }
+            fleet.awaitTrue("the status of the others leaves it out", () -> !status(fleet, 1)
+                    .contains("entry-0"));
+            assertThat(status(fleet, 1)).contains("entry-2");
             assertThat(engine.held(InstanceId.of("entry-0")).value()).hasSize(1);
             assertThat(engine.held(InstanceId.of("entry-1")).value()).hasSize(1);
         }
     }
 
+    private static String status(ProcessFleet fleet, int instance) {
+        return fleet.operator(fleet.instances.get(instance), "/status").value().text();
+    }
+
     @Test
     void aPausedInstanceThatReturnsGivesTheWholeAnswer() throws Exception {
         try (ProcessFleet fleet = new ProcessFleet(folder, 3, "")) {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/OperatorEndpoint.java
@@ -36,7 +36,7 @@
      * @param ready whether it takes requests
      * @param source where the configuration came from, empty before the first
      * @param problem what is wrong with a newer configuration or with following it, empty if nothing
-     * @param peers what the other instances have in force, as far as this one knows
+     * @param peers what the other instances that may work have in force, as far as this one knows
      */
     record Status(
             String instance,
@@ -185,6 +185,7 @@
 
     private List<PeerStatus> peerStatus() {
         return peers.get().others().stream()
+                .filter(Sighting::mayWork)
                 .map(peer -> new PeerStatus(
                         peer.id().value(), peer.member().generation().value()))
                 .toList();
