--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/EventCatalogueTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/EventCatalogueTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.event.LogEvent;
@@ -31,4 +32,27 @@
                 .toList();
         assertThat(rows).containsExactlyElementsIn(events).inOrder();
     }
+
+    @Test
+    void everyEventIsWrittenSomewhere() throws IOException {
+        String sources = mainSources();
+        List<String> unwritten = Arrays.stream(LogEvent.values())
+                .map(event -> "LogEvent." + event.name())
+                .filter(name -> !sources.contains(name))
+                .toList();
+        assertThat(unwritten).isEmpty();
+    }
+
+    private static String mainSources() throws IOException {
+        StringBuilder sources = new StringBuilder();
+        try (Stream<Path> paths = Files.walk(Path.of(".."))) {
+            List<Path> files = paths.filter(path -> path.toString().matches(".*/src/main/java/.*[.]java"))
+                    .filter(path -> !path.endsWith("LogEvent.java"))
+                    .toList();
+            for (Path file : files) {
+                sources.append(Files.readString(file));
+            }
+        }
+        return sources.toString();
+    }
 }
