--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/AttemptTracker.java
@@ -145,7 +145,7 @@
             case EVICTED -> server.transferCalibration().learn(1, STALLED_RATIO, nowNanos);
             case STALLED -> {
                 server.transferCalibration().learn(1, STALLED_RATIO, nowNanos);
-                server.health().failed(false, nowNanos);
+                server.health().stalled(nowNanos);
             }
             case UNREACHABLE -> server.health().failed(true, nowNanos);
             default -> server.health().failed(false, nowNanos);
--- a/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerHealth.java
+++ b/mangoridge-routing/src/main/java/org/mangoridge/routing/ServerHealth.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Notes that a transfer brought no end: one is enough, since each costs a prefill. */
+    void stalled(long nowNanos) {
+        eject(nowNanos);
+    }
+
     /** Notes a report. */
     void reported(long nowNanos) {
         reportedNanos = nowNanos;
--- a/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
+++ b/mangoridge-routing/src/test/java/org/mangoridge/routing/RetryTest.java
@@ -166,4 +166,16 @@
         }
         assertThat(RoutingFixture.refused(actions).refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
     }
+
+    @Test
+    void oneStalledTransferEjectsTheServer() {
+        RoutingFixture fixture = fixture(4);
+        RoutingAction.Place first = RoutingFixture.placed(fixture.send("counter", 16, 8));
+        ServerId stalled = first.placement().decode();
+        fixture.fail(first.attempt(), FailureKind.STALLED, Verdict.MAY_HAVE_RUN, 0);
+        for (int i = 0; i < 12; i++) {
+            RoutingAction.Place next = RoutingFixture.placed(fixture.send("counter", 16, 8));
+            assertThat(next.placement().decode()).isNotEqualTo(stalled);
+        }
+    }
 }
