--- a/mangoridge-peer/src/main/java/org/mangoridge/peer/rpc/PeerServer.java
+++ b/mangoridge-peer/src/main/java/org/mangoridge/peer/rpc/PeerServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 
 import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
@@ -90,13 +91,7 @@
     private void acceptAll() {
         while (!listener.isClosed()) {
             try {
-                Socket socket = listener.accept();
-                if (open.size() >= limits.maxConnections()) {
-                    socket.close();
-                    continue;
-                }
-                open.add(socket);
-                threads.execute(() -> serve(socket));
+                admit(listener.accept());
             } catch (IOException e) {
                 if (!listener.isClosed()) {
                     EventLog.write(LogEvent.PEER_CONNECTION_FAILED, Field.of("detail", e.getMessage()));
@@ -105,6 +100,21 @@
         }
     }
 
+    /** Serves a connection, or closes it if there are too many or the server is stopping. */
+    private void admit(Socket socket) throws IOException {
+        if (open.size() >= limits.maxConnections()) {
+            socket.close();
+            return;
+        }
+        open.add(socket);
+        try {
+            threads.execute(() -> serve(socket));
+        } catch (RejectedExecutionException e) {
+            open.remove(socket);
+            socket.close();
+        }
+    }
+
     private void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
--- a/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
+++ b/mangoridge-web/src/main/java/org/mangoridge/web/RequestDispatcher.java
@@ -77,8 +77,11 @@
                     ticket.started();
                     WebRequest request = request(ctx.getRequest(), body.getBytes(), connection);
                     Promise.<Outgoing>async(down -> start(() -> {
-                                answer(ctx, request, down);
-                                ticket.handled();
+                                try {
+                                    answer(ctx, request, down);
+                                } finally {
+                                    ticket.handled();
+                                }
                             }))
                             .then(outgoing -> send(ctx, outgoing));
                 });
@@ -110,11 +113,13 @@
     private void answer(Context ctx, WebRequest request, Downstream<? super Outgoing> down) {
         WebReply reply = reply(request);
         if (!(reply instanceof WebReply.Streamed streamed)) {
-            down.success(new Outgoing(reply, null));
+            give(down, new Outgoing(reply, null));
             return;
         }
         ChunkPublisher stream = new ChunkPublisher(SLOWEST_READER, () -> close(ctx));
-        down.success(new Outgoing(reply, stream));
+        if (!give(down, new Outgoing(reply, stream))) {
+            stream.abort();
+        }
         try {
             streamed.body().writeTo(stream);
             stream.complete();
@@ -124,6 +129,16 @@
         }
     }
 
+    /** Hands an answer over; false if the server has stopped, so that nobody takes it. */
+    private static boolean give(Downstream<? super Outgoing> down, Outgoing outgoing) {
+        try {
+            down.success(outgoing);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false;
+        }
+    }
+
     private WebReply reply(WebRequest request) {
         try {
             return handler.handle(request);
