Name the library of the object API mangoridge-objects

Cause: the adapter for the users' platform takes the folder platform/, and two things of that name confuse. Change: module and package renamed; no code changed.

--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimBench.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimBench.java
@@ -22,10 +22,10 @@
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.WriteOutcome;
 
 /** Measures what claims add to orders whose server answers at once. */
 public final class ClaimBench {
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimObjects.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimObjects.java
@@ -15,7 +15,7 @@
 import org.mangoridge.core.id.CallerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.http.Json;
-import org.mangoridge.platform.ObjectKey;
+import org.mangoridge.objects.ObjectKey;
 
 /** The names and the JSON form of claim objects. */
 public final class ClaimObjects {
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimRunner.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimRunner.java
@@ -19,12 +19,12 @@
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Drives {@link ClaimMachine} against the platform's store.
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimSweeper.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/ClaimSweeper.java
@@ -7,9 +7,9 @@
 import org.mangoridge.claims.protocol.ClaimState;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
 
 /**
  * Deletes claims whose retention has passed, a page at a time and from the budget of writes; calls block.
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/DelegatingStore.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/DelegatingStore.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 
 import org.mangoridge.core.Result;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WriteOutcome;
 
 /** Passes calls to another store and lets a subclass see each. */
 abstract class DelegatingStore implements ObjectStore {
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/SettlementAudit.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/SettlementAudit.java
@@ -1,7 +1,7 @@
 package org.mangoridge.claims.store;
 
 import org.mangoridge.core.Result;
-import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.objects.StoreFailure;
 
 /** Keeps who settled which claim; the entry is written before the claim is changed. */
 @FunctionalInterface
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaim.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaim.java
@@ -1,7 +1,7 @@
 package org.mangoridge.claims.store;
 
 import org.mangoridge.claims.protocol.Claim;
-import org.mangoridge.platform.ObjectKey;
+import org.mangoridge.objects.ObjectKey;
 
 /**
  * A claim whose attempt ended without a known outcome.
--- a/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaims.java
+++ b/mangoridge-claims/src/main/java/org/mangoridge/claims/store/StuckClaims.java
@@ -10,11 +10,11 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /** Finds and settles stuck claims for operators; calls block. */
 public final class StuckClaims {
--- a/mangoridge-claims/src/test/java/org/mangoridge/claims/store/StuckClaimsTest.java
+++ b/mangoridge-claims/src/test/java/org/mangoridge/claims/store/StuckClaimsTest.java
@@ -21,8 +21,8 @@
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.time.VirtualClock;
 import org.mangoridge.core.verdict.AttemptProgress;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.WriteOutcome;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ClaimsCommand.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/ClaimsCommand.java
@@ -20,11 +20,11 @@
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.core.time.SystemClock;
 import org.mangoridge.http.HttpTransport;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.WriteOutcome;
-import org.mangoridge.platform.http.HttpObjectStore;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.WriteOutcome;
+import org.mangoridge.objects.http.HttpObjectStore;
 import org.mangoridge.settings.ini.Values;
 
 /** Shows the claims of a service that have no known outcome, and settles one. */
--- a/mangoridge-config/src/main/java/org/mangoridge/config/ApplySettler.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/ApplySettler.java
@@ -10,10 +10,10 @@
 import org.mangoridge.config.audit.ChangeTrail;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Finds out what became of an apply whose answer was lost.
--- a/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/ConfigRepository.java
@@ -8,12 +8,12 @@
 import org.mangoridge.config.content.Piece;
 import org.mangoridge.core.Result;
 import org.mangoridge.http.Json;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Keeps the configuration in the platform's store: one head object that names the pieces of the text.
--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditLog.java
@@ -8,11 +8,11 @@
 import org.mangoridge.config.audit.AuditStore.Pointer;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Appends entries to one trail, each naming the hash of the one before it.
--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditStore.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditStore.java
@@ -7,12 +7,12 @@
 import org.mangoridge.config.content.Sha256;
 import org.mangoridge.core.Result;
 import org.mangoridge.http.Json;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Where the trails lie in the platform's store: entries, the tip of each trail, and its anchor.
--- a/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditTrail.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/audit/AuditTrail.java
@@ -10,8 +10,8 @@
 
 import org.mangoridge.config.audit.AuditStore.Pointer;
 import org.mangoridge.core.Result;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
 
 /**
  * A trail as it was read, with everything that does not verify.
--- a/mangoridge-config/src/main/java/org/mangoridge/config/spread/ConfigAgent.java
+++ b/mangoridge-config/src/main/java/org/mangoridge/config/spread/ConfigAgent.java
@@ -11,7 +11,7 @@
 import org.mangoridge.config.ConfigRepository.Head;
 import org.mangoridge.config.PublishedConfig;
 import org.mangoridge.core.id.InstanceId;
-import org.mangoridge.platform.budget.Backoff;
+import org.mangoridge.objects.budget.Backoff;
 
 /**
  * Decides how one instance follows the configuration.
--- a/mangoridge-config/src/test/java/org/mangoridge/config/Samples.java
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/Samples.java
@@ -6,7 +6,7 @@
 
 import org.mangoridge.config.audit.AuditLog;
 import org.mangoridge.core.time.VirtualClock;
-import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.objects.ObjectStore;
 import org.mangoridge.settings.deployment.KeyHash;
 import org.mangoridge.settings.ini.IniFile;
 import org.mangoridge.settings.ini.IniSection;
--- a/mangoridge-config/src/test/java/org/mangoridge/config/audit/AuditLogTest.java
+++ b/mangoridge-config/src/test/java/org/mangoridge/config/audit/AuditLogTest.java
@@ -11,8 +11,8 @@
 import org.mangoridge.config.Manifest;
 import org.mangoridge.config.PublishedConfig;
 import org.mangoridge.config.Samples;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoredObject;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoredObject;
 import org.mangoridge.standin.platform.LocalObjectStore;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigCalls.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigCalls.java
@@ -23,11 +23,11 @@
 import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WatchChange;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WatchChange;
 
 /** Makes the calls that a config agent wants, each of which ends in one event; calls block, on virtual threads. */
 public final class ConfigCalls {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigEndpoint.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/config/ConfigEndpoint.java
@@ -14,7 +14,7 @@
 import org.mangoridge.core.id.Generation;
 import org.mangoridge.entry.auth.OperatorAuthenticator;
 import org.mangoridge.http.Json;
-import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.objects.StoreFailure;
 import org.mangoridge.web.ErrorBody;
 import org.mangoridge.web.WebHandler;
 import org.mangoridge.web.WebReply;
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/lifecycle/DrainAudit.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/lifecycle/DrainAudit.java
@@ -12,7 +12,7 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.StoreFailure;
+import org.mangoridge.objects.StoreFailure;
 
 /** Records in the audit trail who told an instance to shut down; the shutdown does not wait for the record. */
 public final class DrainAudit {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/LeaseStore.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/LeaseStore.java
@@ -4,13 +4,13 @@
 
 import org.mangoridge.core.Result;
 import org.mangoridge.http.Json;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
 import org.mangoridge.orders.lease.LeaseAction;
 import org.mangoridge.orders.lease.LeaseEvent;
 import org.mangoridge.orders.lease.LeaseRecord;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
 
 /** Reads and writes one lease in the platform's store; calls block. */
 final class LeaseStore {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/TrailOrderAudit.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/TrailOrderAudit.java
@@ -10,9 +10,9 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.Owner;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.objects.StoreFailure;
 import org.mangoridge.orders.plan.EngineOrder;
 import org.mangoridge.orders.plan.OrderOutcome;
-import org.mangoridge.platform.StoreFailure;
 
 /** Records orders in an audit trail of the platform's store. */
 public final class TrailOrderAudit implements OrderAudit {
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/peers/PeerNode.java
@@ -22,6 +22,9 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.entry.control.ControlLoop;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.StoreFailure;
 import org.mangoridge.peer.membership.GossipMessage;
 import org.mangoridge.peer.membership.ListedPeer;
 import org.mangoridge.peer.membership.Member;
@@ -39,9 +42,6 @@
 import org.mangoridge.peer.rpc.PeerLimits;
 import org.mangoridge.peer.rpc.PeerServer;
 import org.mangoridge.peer.rpc.PeerSockets;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.StoreFailure;
 import org.mangoridge.settings.InstanceSettings;
 
 /**
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/config/ConfigCallsTest.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/config/ConfigCallsTest.java
@@ -25,9 +25,9 @@
 import org.mangoridge.core.id.Generation;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.time.VirtualClock;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoredObject;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoredObject;
 import org.mangoridge.standin.platform.LocalObjectStore;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/HaltPoint.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/HaltPoint.java
@@ -4,7 +4,7 @@
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
 
-import org.mangoridge.platform.ObjectStore;
+import org.mangoridge.objects.ObjectStore;
 
 /** Halts the holder of a claim at one of its platform writes, as a pause or a kill would. */
 final class HaltPoint {
--- a/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
+++ b/mangoridge-entry/src/test/java/org/mangoridge/entry/plain/OrderDesk.java
@@ -22,7 +22,7 @@
 import org.mangoridge.entry.reply.RequestIds;
 import org.mangoridge.http.Headers;
 import org.mangoridge.http.HttpTransport;
-import org.mangoridge.platform.http.HttpObjectStore;
+import org.mangoridge.objects.http.HttpObjectStore;
 import org.mangoridge.settings.deployment.Deployment;
 import org.mangoridge.settings.deployment.DeploymentParser;
 import org.mangoridge.settings.deployment.KeyHash;
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/ListedInstance.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/ListedInstance.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/Precondition.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/Precondition.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 /** What must hold for a write to take effect. */
 public sealed interface Precondition {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/StoreFailure.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/StoreFailure.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 /**
  * A read that the platform did not answer.
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/WatchBatch.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/WatchBatch.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 import java.util.List;
 
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/WatchChange.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/WatchChange.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 /** One change of an object. */
 public sealed interface WatchChange {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/WriteOutcome.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/WriteOutcome.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform;
+package org.mangoridge.objects;
 
 /** What became of a conditional write. */
 public sealed interface WriteOutcome {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/BudgetedStore.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/budget/BudgetedStore.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform.budget;
+package org.mangoridge.objects.budget;
 
 import java.time.Duration;
 import java.util.List;
@@ -6,14 +6,14 @@
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WriteOutcome;
 
 /** A store whose calls count against the share of one purpose; calls beyond it are not made. */
 public final class BudgetedStore implements ObjectStore {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/CallPurpose.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/budget/CallPurpose.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform.budget;
+package org.mangoridge.objects.budget;
 
 /** What a call to the platform is for; each purpose has a share of its own that no other can use up. */
 public enum CallPurpose {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/budget/package-info.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/budget/package-info.java
@@ -1,2 +1,2 @@
 /** How often an instance may call the platform. */
-package org.mangoridge.platform.budget;
+package org.mangoridge.objects.budget;
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/http/HttpObjectStore.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/http/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform.http;
+package org.mangoridge.objects.http;
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -18,15 +18,15 @@
 import org.mangoridge.http.HttpFailure;
 import org.mangoridge.http.HttpTransport;
 import org.mangoridge.http.Json;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WatchChange;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WatchChange;
+import org.mangoridge.objects.WriteOutcome;
 
 /** The object API over HTTP, as {@code docs/PLATFORM-PROTOCOL.md} describes it. */
 public final class HttpObjectStore implements ObjectStore {
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/http/PlatformMessages.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/http/PlatformMessages.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform.http;
+package org.mangoridge.objects.http;
 
 import java.util.List;
 
--- a/mangoridge-platform/src/main/java/org/mangoridge/platform/http/package-info.java
+++ b/mangoridge-objects/src/main/java/org/mangoridge/objects/http/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's object API over HTTP. */
-package org.mangoridge.platform.http;
+package org.mangoridge.objects.http;
--- a/mangoridge-platform/src/test/java/org/mangoridge/platform/budget/CallBudgetTest.java
+++ b/mangoridge-objects/src/test/java/org/mangoridge/objects/budget/CallBudgetTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.platform.budget;
+package org.mangoridge.objects.budget;
 
 import java.time.Duration;
 import java.util.SplittableRandom;
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseAction.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseAction.java
@@ -1,6 +1,6 @@
 package org.mangoridge.orders.lease;
 
-import org.mangoridge.platform.Precondition;
+import org.mangoridge.objects.Precondition;
 
 /** What a lease machine asks for; one action is in progress at a time. */
 public sealed interface LeaseAction {
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.WriteOutcome;
 
 /** What a lease machine reacts to. */
 public sealed interface LeaseEvent {
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
@@ -6,8 +6,8 @@
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.FencingNumber;
 import org.mangoridge.core.id.Owner;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.WriteOutcome;
 
 /**
  * Takes, renews and gives back one lease; used by one thread.
--- a/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
+++ b/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
@@ -12,8 +12,8 @@
 import org.mangoridge.core.id.Incarnation;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.Owner;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.WriteOutcome;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.WriteOutcome;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/InstanceTable.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/InstanceTable.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import org.mangoridge.platform.http.PlatformMessages;
+import org.mangoridge.objects.http.PlatformMessages;
 
 /** The list of instances that the platform answers with; safe for use by several threads. */
 public final class InstanceTable {
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/LocalObjectStore.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/LocalObjectStore.java
@@ -10,16 +10,16 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.ObjectKey;
-import org.mangoridge.platform.ObjectStore;
-import org.mangoridge.platform.Precondition;
-import org.mangoridge.platform.StoreFailure;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WatchChange;
-import org.mangoridge.platform.WriteOutcome;
-import org.mangoridge.platform.http.PlatformMessages;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.ObjectKey;
+import org.mangoridge.objects.ObjectStore;
+import org.mangoridge.objects.Precondition;
+import org.mangoridge.objects.StoreFailure;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WatchChange;
+import org.mangoridge.objects.WriteOutcome;
+import org.mangoridge.objects.http.PlatformMessages;
 
 /** The objects of a stand-in platform in this process, with the faults that a test asks for. */
 public final class LocalObjectStore implements ObjectStore {
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/ObjectTable.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/ObjectTable.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
-import org.mangoridge.platform.http.PlatformMessages;
+import org.mangoridge.objects.http.PlatformMessages;
 
 /** Objects with versions and a bounded history of changes; safe for use by several threads. */
 final class ObjectTable {
--- a/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/PlatformReplies.java
+++ b/mangoridge-standin/src/main/java/org/mangoridge/standin/platform/PlatformReplies.java
@@ -2,11 +2,11 @@
 
 import java.util.List;
 
-import org.mangoridge.platform.ListedInstance;
-import org.mangoridge.platform.StoredObject;
-import org.mangoridge.platform.WatchBatch;
-import org.mangoridge.platform.WatchChange;
-import org.mangoridge.platform.http.PlatformMessages;
+import org.mangoridge.objects.ListedInstance;
+import org.mangoridge.objects.StoredObject;
+import org.mangoridge.objects.WatchBatch;
+import org.mangoridge.objects.WatchChange;
+import org.mangoridge.objects.http.PlatformMessages;
 
 /** Turns what the store gives into the messages of the object API. */
 final class PlatformReplies {
