--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -24,6 +24,7 @@
 import org.mangoridge.cli.command.ExitCode;
 import org.mangoridge.cli.command.Invocation;
 import org.mangoridge.cli.command.KeyCommand;
+import org.mangoridge.cli.command.NodeCommand;
 import org.mangoridge.cli.command.ServeCommand;
 import org.mangoridge.cli.command.StandInCommand;
 import org.mangoridge.cli.command.StatusCommand;
@@ -53,6 +54,7 @@
     public static Main create() {
         return new Main(List.of(
                 new ServeCommand(),
+                new NodeCommand(),
                 new CheckCommand(),
                 new DiffCommand(),
                 new ApplyCommand(),
--- /dev/null
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/command/NodeCommand.java
@@ -0,0 +1,52 @@
+package org.mangoridge.cli.command;
+
+import java.nio.file.Path;
+import java.util.Optional;
+
+import org.apache.commons.cli.Options;
+import org.mangoridge.adapter.PlatformNode;
+
+/** Runs an entry instance on the users' platform. */
+public final class NodeCommand implements Command {
+
+    @Override
+    public String name() {
+        return "node";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "Run an entry instance on the users' platform.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(
+                        null,
+                        "settings",
+                        true,
+                        "the settings file that the platform wrote; else $" + PlatformNode.SETTINGS_VARIABLE);
+    }
+
+    @Override
+    public ExitCode run(Invocation invocation) {
+        Optional<String> file = invocation
+                .option("settings")
+                .or(() -> Optional.ofNullable(System.getenv(PlatformNode.SETTINGS_VARIABLE)));
+        if (file.isEmpty()) {
+            throw new UsageException("--settings is missing and " + PlatformNode.SETTINGS_VARIABLE + " is not set");
+        }
+        try {
+            return PlatformNode.run(Path.of(file.get()), invocation.err()) ? ExitCode.DONE : ExitCode.FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.FAILED;
+        }
+    }
+}
--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -15,6 +15,12 @@
     INSTANCE_DRAINING(102, Level.INFO, "instance draining"),
     /** The instance ends. */
     INSTANCE_STOPPED(103, Level.INFO, "instance stopped"),
+    /** The instance read its settings again. */
+    INSTANCE_RELOADED(104, Level.INFO, "settings reloaded"),
+    /** The instance became ready for callers, or ceased to be. */
+    INSTANCE_READINESS(105, Level.INFO, "readiness changed"),
+    /** The process stood still. */
+    INSTANCE_PAUSED(106, Level.WARNING, "process stood still"),
     /** A defect of the system. */
     INTERNAL_ERROR(199, Level.SEVERE, "internal error"),
     /** A request was refused. */
@@ -23,12 +29,34 @@
     CALLER_GONE(202, Level.INFO, "caller gone"),
     /** An answer that names another attempt was dropped. */
     STALE_ANSWER_DROPPED(203, Level.WARNING, "answer of another attempt dropped"),
+    /** A request was given to a backend server, or to a pair of them. */
+    REQUEST_PLACED(204, Level.INFO, "request placed"),
+    /** A request waits for room at a backend server. */
+    REQUEST_WAITING(205, Level.INFO, "request waiting"),
+    /** A request has the final answer of a backend server. */
+    REQUEST_ANSWERED(206, Level.INFO, "request answered"),
+    /** A stream goes on at another backend server. */
+    STREAM_RESUMED(207, Level.INFO, "stream resumed"),
+    /** A stream was ended before it was complete. */
+    STREAM_CUT(208, Level.WARNING, "stream cut"),
+    /** A prefill server has read the prompt of a request. */
+    PROMPT_READ(209, Level.INFO, "prompt read"),
     /** An attempt at a backend server failed. */
     ATTEMPT_FAILED(301, Level.WARNING, "attempt failed"),
     /** A cancel was not acknowledged in time. */
     CANCEL_UNACKNOWLEDGED(302, Level.WARNING, "cancel not acknowledged"),
     /** A load report could not be read. */
     LOAD_REPORT_FAILED(303, Level.WARNING, "load report failed"),
+    /** A backend server may be given work. */
+    SERVER_LISTED(304, Level.INFO, "server listed"),
+    /** A backend server takes no new work. */
+    SERVER_LEAVING(305, Level.INFO, "server leaving"),
+    /** A backend server is gone. */
+    SERVER_GONE(306, Level.INFO, "server gone"),
+    /** A backend server is given no work for a time, since it did not answer. */
+    SERVER_EJECTED(307, Level.WARNING, "server ejected"),
+    /** The entry of a backend server can't be read and names no server. */
+    SERVER_ENTRY_UNREADABLE(308, Level.WARNING, "server entry unreadable"),
     /** A configuration came into force. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
@@ -0,0 +1,145 @@
+package org.mangoridge.gateway.balance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.gateway.config.EngineSpec;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.gateway.request.TokenDemand;
+
+/**
+ * Chooses the servers of a model request: the pair, or the single decode server, with the earliest first token.
+ *
+ * <p>Room at the decode server comes first, since a prompt that was read for nothing is wasted. A decode server reads a
+ * prompt itself only if that is much earlier, since it slows the requests that it already has.
+ */
+public final class EngineBalancer {
+
+    /** The part of a server's KV cache that is filled; the rest takes up requests that peers place unseen. */
+    private static final double FILL = 0.92;
+    /** How much later than a direct one a split placement may be and still be taken. */
+    private static final double DIRECT_PENALTY_MILLIS = 250;
+    /** How much later a placement within one zone may be and still be taken: transfers between zones cost twice. */
+    private static final double FAR_PENALTY_MILLIS = 60;
+    /** The penalty for a server of which nothing but failed answers was seen. */
+    private static final double ERROR_PENALTY_MILLIS = 1500;
+    /** Time from the end of prefill to the first token: transfer and first step. */
+    private static final double HAND_OVER_MILLIS = 60;
+    /** The penalty for a full batch; a share of it applies in proportion, as every request slows the others. */
+    private static final double CROWD_PENALTY_MILLIS = 150;
+    /** Prompts that one decode server reads itself at a time; more would stall the streams that it has. */
+    private static final int DIRECT_AT_ONCE = 2;
+
+    private final LoadBook loads;
+    private final ServerTracks tracks;
+    private final EnginePace pace;
+    private final AvailabilityZone zone;
+
+    private EngineBalancer(LoadBook loads, ServerTracks tracks, EnginePace pace, AvailabilityZone zone) {
+        this.loads = loads;
+        this.tracks = tracks;
+        this.pace = pace;
+        this.zone = zone;
+    }
+
+    /** Returns a balancer of an instance in {@code zone}. */
+    public static EngineBalancer create(LoadBook loads, ServerTracks tracks, EnginePace pace, AvailabilityZone zone) {
+        return new EngineBalancer(loads, tracks, pace, zone);
+    }
+
+    private record Choice(EnginePlacement placement, double cost, double millis) {}
+
+    /**
+     * Returns the placement of a request.
+     *
+     * @param servers the service's servers that take new work
+     * @param avoid servers that failed or rejected the request before
+     * @param within how long the first token may take for the placement to be worth it
+     */
+    public EnginePlacement choose(
+            List<ServerEntry> servers,
+            EngineSpec spec,
+            TokenDemand demand,
+            Set<ServerId> avoid,
+            Duration within,
+            Duration now) {
+        List<ServerEntry> sound = soundOf(servers, avoid, now);
+        Choice best = null;
+        for (ServerEntry decode : sound) {
+            if (decode.stage() == ServerStage.PREFILL || !hasDecodeRoom(decode, spec, demand)) {
+                continue;
+            }
+            best = better(best, direct(decode, demand, now));
+            for (ServerEntry prefill : sound) {
+                if (prefill.stage() == ServerStage.PREFILL && hasPrefillRoom(prefill, spec, demand)) {
+                    best = better(best, split(prefill, decode, demand, now));
+                }
+            }
+        }
+        if (best == null) {
+            return new EnginePlacement.NoRoom(Duration.ofMillis(-1));
+        }
+        Duration expected = millis(best.millis());
+        return expected.compareTo(within) <= 0 ? best.placement() : new EnginePlacement.NoRoom(expected);
+    }
+
+    private List<ServerEntry> soundOf(List<ServerEntry> servers, Set<ServerId> avoid, Duration now) {
+        List<ServerEntry> sound = servers.stream()
+                .filter(server -> tracks.usable(server.id(), now) && !avoid.contains(server.id()))
+                .toList();
+        boolean canDecode = sound.stream().anyMatch(server -> server.stage() != ServerStage.PREFILL);
+        return canDecode
+                ? sound
+                : servers.stream()
+                        .filter(server -> !avoid.contains(server.id()))
+                        .toList();
+    }
+
+    private static Choice better(Choice one, Choice other) {
+        return one == null || (other != null && other.cost() < one.cost()) ? other : one;
+    }
+
+    private Choice direct(ServerEntry decode, TokenDemand demand, Duration now) {
+        LoadShare load = loads.total(decode.id());
+        double reading = pace.directMillis(decode.id(), load.prefillTokens() + demand.prompt(), now);
+        double reads = load.prefillTokens() / (double) Math.max(1, demand.prompt());
+        double stalled = reads >= DIRECT_AT_ONCE ? DIRECT_PENALTY_MILLIS * reads : 0;
+        double cost = reading + DIRECT_PENALTY_MILLIS + stalled + decodeCost(decode, now);
+        return new Choice(new EnginePlacement.Direct(decode, millis(reading)), cost, reading);
+    }
+
+    private Choice split(ServerEntry prefill, ServerEntry decode, TokenDemand demand, Duration now) {
+        long tokens = loads.total(prefill.id()).prefillTokens() + demand.prompt();
+        double first = pace.prefillMillis(prefill.id(), tokens, now) + HAND_OVER_MILLIS;
+        double far = prefill.zone().equals(decode.zone()) ? 0 : FAR_PENALTY_MILLIS;
+        double errors = ERROR_PENALTY_MILLIS * tracks.errorShare(prefill.id(), now);
+        double cost = first + far + errors + decodeCost(decode, now);
+        return new Choice(new EnginePlacement.Split(prefill, decode, millis(first)), cost, first);
+    }
+
+    private double decodeCost(ServerEntry decode, Duration now) {
+        double crowd = CROWD_PENALTY_MILLIS * loads.total(decode.id()).requests() / decode.slots();
+        double errors = ERROR_PENALTY_MILLIS * tracks.errorShare(decode.id(), now);
+        double slow = CROWD_PENALTY_MILLIS * Math.max(0, pace.slowdown(decode.id(), now) - 1);
+        double far = decode.zone().equals(zone) ? 0 : FAR_PENALTY_MILLIS / 6;
+        return crowd + errors + slow + far;
+    }
+
+    private boolean hasDecodeRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
+        LoadShare load = loads.total(server.id());
+        return load.requests() < server.slots() && load.kvTokens() + demand.total() <= spec.kvCapacity() * FILL;
+    }
+
+    private boolean hasPrefillRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
+        LoadShare load = loads.total(server.id());
+        return load.requests() < server.slots() && load.kvTokens() + demand.prompt() <= spec.kvCapacity() * FILL;
+    }
+
+    private static Duration millis(double value) {
+        return Duration.ofNanos((long) (value * 1e6));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/EngineSpec.java
@@ -0,0 +1,21 @@
+package org.mangoridge.gateway.config;
+
+import java.time.Duration;
+
+import org.mangoridge.core.Checks;
+
+/**
+ * What the servers of a model service can hold.
+ *
+ * @param slots requests that one server works on at once
+ * @param kvCapacity KV cache of one server, in tokens
+ * @param handleRetention how long a server keeps the KV cache of a prefill that nobody has taken
+ */
+public record EngineSpec(int slots, int kvCapacity, Duration handleRetention) {
+
+    public EngineSpec {
+        Checks.argument(slots > 0, "slots must be positive: %d", slots);
+        Checks.argument(kvCapacity > 0, "KV capacity must be positive: %d", kvCapacity);
+        Checks.notNull(handleRetention, "handleRetention");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/GatewayConfig.java
@@ -0,0 +1,74 @@
+package org.mangoridge.gateway.config;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.mangoridge.core.Checks;
+import org.mangoridge.core.id.ServiceId;
+
+/** One version of the configuration, immutable. */
+public final class GatewayConfig {
+
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<ServiceId, ServiceSpec> services = new HashMap<>();
+    private final CallerLimits limits;
+
+    private GatewayConfig(long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = Checks.notNull(limits, "limits");
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host(), host -> new java.util.ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        routesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> this.services.put(service.id(), service));
+    }
+
+    /** Returns a configuration. */
+    public static GatewayConfig of(long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+        return new GatewayConfig(version, routes, services, limits);
+    }
+
+    /** Returns the version, which only grows. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the route of a request: of its host's routes the one with the longest prefix of {@code path}. */
+    public Optional<Route> route(String host, String path) {
+        List<Route> candidates = routesByHost.get(host.toLowerCase(Locale.ROOT));
+        if (candidates == null) {
+            return Optional.empty();
+        }
+        for (Route route : candidates) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a service by id. */
+    public Optional<ServiceSpec> service(ServiceId id) {
+        return Optional.ofNullable(services.get(id));
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerEntry.java
@@ -0,0 +1,39 @@
+package org.mangoridge.gateway.directory;
+
+import org.mangoridge.core.Checks;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.net.HostPort;
+
+/**
+ * What a server says of itself.
+ *
+ * @param id the id of this run of the server
+ * @param service the service that it belongs to
+ * @param address where it listens
+ * @param zone where it runs
+ * @param slots requests that it works on at once
+ * @param leaving whether it takes no new work
+ * @param stage its part in serving model requests
+ * @param bornMillis when it started, as Unix milliseconds; a run under the same id that starts later knows nothing
+ */
+public record ServerEntry(
+        ServerId id,
+        ServiceId service,
+        HostPort address,
+        AvailabilityZone zone,
+        int slots,
+        boolean leaving,
+        ServerStage stage,
+        long bornMillis) {
+
+    public ServerEntry {
+        Checks.notNull(id, "id");
+        Checks.notNull(service, "service");
+        Checks.notNull(address, "address");
+        Checks.notNull(zone, "zone");
+        Checks.argument(slots > 0, "slots must be positive: %d", slots);
+        Checks.notNull(stage, "stage");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -0,0 +1,303 @@
+package org.mangoridge.gateway.exchange;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.verdict.AttemptProgress;
+import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.gateway.balance.LoadShare;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.net.CallFailure;
+import org.mangoridge.gateway.net.CallListener;
+import org.mangoridge.gateway.net.UpstreamCall;
+import org.mangoridge.gateway.request.Attempt;
+import org.mangoridge.gateway.request.AttemptWork;
+import org.mangoridge.gateway.request.RepeatRule;
+import org.mangoridge.gateway.request.ServerReply;
+import org.mangoridge.gateway.request.TokenDemand;
+
+/** Has a request run by a decode server and passes its events on; holds room there from the start. */
+final class DecodeStep implements CallListener {
+
+    /** A stream without an event for this long beyond what was expected is stalled. */
+    private static final Duration STALL = Duration.ofMillis(900);
+
+    private static final int MAX_FAILURE_BYTES = 64 << 10;
+
+    private final GatewayContext context;
+    private final ModelExchange exchange;
+    private final ServerEntry server;
+    private final Duration expected;
+    private final LoadShare held;
+    private LoadShare reading = LoadShare.NONE;
+    private AttemptWork work;
+    private UpstreamCall call;
+    private ScheduledFuture<?> stallTimer;
+    private HttpResponse head;
+    private ServerReply reply;
+    private final EventBuffer events = new EventBuffer();
+    private ByteBuf failureBody = Unpooled.EMPTY_BUFFER;
+    private Duration started;
+    private boolean sawEvent;
+    private boolean resumed;
+    private boolean ejected;
+    private boolean released;
+
+    DecodeStep(GatewayContext context, ModelExchange exchange, ServerEntry server, Duration expected) {
+        this.context = context;
+        this.exchange = exchange;
+        this.server = server;
+        this.expected = expected;
+        TokenDemand demand = exchange.scope().caller().tokens();
+        this.held = new LoadShare(1, 0, demand.total());
+        context.loads().add(server.id(), held);
+    }
+
+    /** Sends the request to the server. */
+    void start(AttemptWork newWork) {
+        RequestScope scope = exchange.scope();
+        work = newWork;
+        started = context.now();
+        resumed = exchange.begun();
+        if (work instanceof AttemptWork.Whole) {
+            reading = new LoadShare(0, scope.caller().tokens().prompt(), 0);
+            context.loads().add(server.id(), reading);
+        }
+        scope.sent();
+        context.tracks().sent(server.id());
+        OptionalLong after = exchange.lastEvent();
+        Attempt attempt = new Attempt(scope.caller(), server.id(), scope.left(), work, after);
+        watch(expected.plus(STALL));
+        call = context.pool()
+                .call(
+                        scope.upstream(
+                                server.address(), attempt, EngineTimes.TRUSTED_IDLE, EngineTimes.CONNECT_TIMEOUT),
+                        this);
+    }
+
+    /** Returns how far the server may have come with the request. */
+    Verdict reached() {
+        if (call == null) {
+            return Verdict.NOT_RUN;
+        }
+        return call.progress().verdict();
+    }
+
+    void reading(boolean on) {
+        if (call != null && !released) {
+            call.reading(on);
+        }
+    }
+
+    void abandon() {
+        if (!released) {
+            release();
+            if (call != null) {
+                context.tracks().withdrawn(server.id());
+                call.cancel();
+            }
+        }
+    }
+
+    /** Takes back the load that the request puts on the server. */
+    void release() {
+        if (!released) {
+            released = true;
+            doneReading();
+            context.loads().subtract(server.id(), held);
+            if (stallTimer != null) {
+                stallTimer.cancel(false);
+            }
+            failureBody.release();
+            failureBody = Unpooled.EMPTY_BUFFER;
+            exchange.roomCame();
+        }
+    }
+
+    private void doneReading() {
+        context.loads().subtract(server.id(), reading);
+        reading = LoadShare.NONE;
+    }
+
+    private void watch(Duration time) {
+        if (stallTimer != null) {
+            stallTimer.cancel(false);
+        }
+        stallTimer = context.after(time, this::stalled);
+    }
+
+    private void stalled() {
+        if (released) {
+            return;
+        }
+        if (!ejected) {
+            ejected = true;
+            Duration time = context.tracks().silent(server.id(), context.now());
+            exchange.scope()
+                    .log(
+                            LogEvent.SERVER_EJECTED,
+                            Field.of("server", server.id()),
+                            Field.of("for_ms", time),
+                            Field.of("cause", "stream stalled"));
+        }
+        if (exchange.scope().route().repeat() == RepeatRule.RESUMABLE) {
+            Verdict reached = reached();
+            call.cancel();
+            release();
+            exchange.decodeFailed(server, reached, false, "no event in time");
+        }
+    }
+
+    @Override
+    public boolean head(HttpResponse answer) {
+        ServerReply read = context.dialect().readReply(answer);
+        if (read.request().isPresent()
+                && !read.request().get().equals(exchange.scope().caller().id())) {
+            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+            return false;
+        }
+        head = answer;
+        reply = read;
+        return true;
+    }
+
+    @Override
+    public void data(ByteBuf data) {
+        if (!reply.isProperSuccess()) {
+            keepFailure(data);
+            return;
+        }
+        for (EventBuffer.Event event : events.add(data)) {
+            deliver(event);
+            if (released) {
+                return;
+            }
+        }
+        if (events.overflows()) {
+            broken("event is too large");
+        }
+    }
+
+    private void deliver(EventBuffer.Event event) {
+        OptionalLong last = exchange.lastEvent();
+        boolean numbered = event.id().isPresent() && last.isPresent();
+        if (numbered && event.id().getAsLong() <= last.getAsLong()) {
+            return;
+        }
+        if (numbered && event.id().getAsLong() > last.getAsLong() + 1) {
+            broken("an event is missing before " + event.id().getAsLong());
+            return;
+        }
+        if (!sawEvent) {
+            sawEvent = true;
+            firstEvent();
+        }
+        exchange.event(event);
+        watch(STALL);
+    }
+
+    private void firstEvent() {
+        doneReading();
+        if (work instanceof AttemptWork.FromCache) {
+            exchange.cacheTaken();
+        }
+        if (resumed) {
+            exchange.scope()
+                    .log(
+                            LogEvent.STREAM_RESUMED,
+                            Field.of("server", server.id()),
+                            Field.of("after", exchange.lastEvent()));
+        } else {
+            context.metrics().latency("latency.first_event", exchange.scope().age());
+        }
+        exchange.begin(reply.status(), ForwardHeaders.ofAnswer(head.headers(), context.dialect()));
+    }
+
+    private void broken(String detail) {
+        call.cancel();
+        fail(Verdict.RAN, detail);
+    }
+
+    private void keepFailure(ByteBuf data) {
+        if (failureBody == Unpooled.EMPTY_BUFFER) {
+            failureBody = Unpooled.buffer(data.readableBytes());
+        }
+        if (failureBody.readableBytes() + data.readableBytes() <= MAX_FAILURE_BYTES) {
+            failureBody.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void ended() {
+        if (released) {
+            return;
+        }
+        Duration took = context.now().minus(started);
+        if (reply.isProperSuccess()) {
+            if (events.hasPartial()) {
+                fail(Verdict.RAN, "stream ends in the middle of an event");
+                return;
+            }
+            context.tracks().answered(server.id(), false, took, context.now());
+            exchange.begin(reply.status(), ForwardHeaders.ofAnswer(head.headers(), context.dialect()));
+            release();
+            exchange.completed(server, reply.status());
+        } else if (reply.didNotRun()) {
+            rejected();
+        } else {
+            serverFailed(took);
+        }
+    }
+
+    private void rejected() {
+        boolean cacheLost = work instanceof AttemptWork.FromCache && !reply.isFromOtherThan(server.id());
+        if (reply.isFromOtherThan(server.id())) {
+            context.directory().drop(server.id());
+        }
+        if (!cacheLost) {
+            context.tracks().answered(server.id(), true, Duration.ZERO, context.now());
+        }
+        release();
+        exchange.decodeFailed(server, Verdict.NOT_RUN, cacheLost, "rejected with " + reply.status());
+    }
+
+    private void serverFailed(Duration took) {
+        context.tracks().answered(server.id(), reply.isServerError(), took, context.now());
+        boolean passOn = !exchange.begun()
+                && !reply.isForgedSuccess()
+                && !PlainExchange.PROMISES_NOT_RUN.contains(reply.status());
+        boolean mayResume = exchange.scope().route().repeat().mayRunAgain();
+        if (passOn && !mayResume) {
+            byte[] body = ByteBufUtil.getBytes(failureBody);
+            release();
+            exchange.answered(server, reply.status(), ForwardHeaders.ofAnswer(head.headers(), context.dialect()), body);
+        } else {
+            fail(Verdict.RAN, "answered " + reply.status());
+        }
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        if (released) {
+            return;
+        }
+        if (failure.progress() == AttemptProgress.BEFORE_CONNECT) {
+            context.tracks().silent(server.id(), context.now());
+        } else {
+            context.tracks().answered(server.id(), true, Duration.ZERO, context.now());
+        }
+        fail(failure.progress().verdict(), failure.detail());
+    }
+
+    private void fail(Verdict reached, String detail) {
+        release();
+        exchange.decodeFailed(server, reached, false, detail);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/IgnoredAnswer.java
@@ -0,0 +1,37 @@
+package org.mangoridge.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.net.CallFailure;
+import org.mangoridge.gateway.net.CallListener;
+
+/** Hears of a call whose answer changes nothing; a failure is logged, since the server frees its memory by itself. */
+record IgnoredAnswer(GatewayContext context, ServerEntry server, String purpose) implements CallListener {
+
+    @Override
+    public boolean head(HttpResponse head) {
+        return true;
+    }
+
+    @Override
+    public void data(ByteBuf data) {
+        // The body says nothing that is needed.
+    }
+
+    @Override
+    public void ended() {
+        context.metrics().count("releases.done");
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        context.log().log(
+                LogEvent.CANCEL_UNACKNOWLEDGED,
+                Field.of("server", server.id()),
+                Field.of("purpose", purpose),
+                Field.of("detail", failure.detail()));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -0,0 +1,111 @@
+package org.mangoridge.gateway.exchange;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.mangoridge.core.Result;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.gateway.config.GatewayConfig;
+import org.mangoridge.gateway.config.Route;
+import org.mangoridge.gateway.config.ServiceSpec;
+import org.mangoridge.gateway.net.CallerExchange;
+import org.mangoridge.gateway.net.RequestHandler;
+import org.mangoridge.gateway.request.CallerRequest;
+
+/** Finds the route of a request and has it served under the configuration of that moment; used on the event loop. */
+public final class RequestRouter implements RequestHandler {
+
+    private static final Duration NOT_READY_RETRY = Duration.ofMillis(800);
+
+    private final GatewayContext context;
+    private final ModelQueue queue;
+    private GatewayConfig config;
+
+    private RequestRouter(GatewayContext context) {
+        this.context = context;
+        this.queue = new ModelQueue(context);
+    }
+
+    /** Returns a router without a configuration; until it has one, requests are told to come back. */
+    public static RequestRouter create(GatewayContext context) {
+        return new RequestRouter(context);
+    }
+
+    /** Puts a configuration in force; one that is not newer changes nothing. */
+    public boolean adopt(GatewayConfig newer) {
+        if (config != null && newer.version() <= config.version()) {
+            return false;
+        }
+        config = newer;
+        return true;
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<GatewayConfig> config() {
+        return Optional.ofNullable(config);
+    }
+
+    /** Looks again for room for requests that wait. */
+    public void roomMayHaveCome() {
+        queue.roomMayHaveCome();
+    }
+
+    @Override
+    public void handle(CallerExchange exchange) {
+        context.metrics().count("requests");
+        Result<CallerRequest, String> read =
+                context.dialect().readRequest(exchange.request().headers());
+        Optional<RequestId> id = read.isOk() ? Optional.of(read.value().id()) : Optional.empty();
+        if (config == null) {
+            refuse(exchange, id, Refusal.notRun(RefusalReason.NOT_READY, "no configuration yet", NOT_READY_RETRY));
+            return;
+        }
+        Optional<Route> route =
+                config.route(hostOf(exchange), exchange.request().path());
+        if (route.isEmpty()) {
+            refuse(exchange, id, Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "no route has this host and path"));
+        } else if (!read.isOk()) {
+            refuse(exchange, id, Refusal.notRun(RefusalReason.MALFORMED, read.error()));
+        } else {
+            serve(exchange, route.get(), read.value());
+        }
+    }
+
+    private static String hostOf(CallerExchange exchange) {
+        String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    private void serve(CallerExchange exchange, Route route, CallerRequest caller) {
+        ServiceId service = route.serviceOf(caller.id());
+        context.budget().requested(service, context.now());
+        RequestScope scope = new RequestScope(context, exchange, route, service, caller, config.version());
+        Optional<ServiceSpec> spec = config.service(service);
+        if (spec.isPresent() && spec.get().engine().isPresent()) {
+            new ModelExchange(context, scope, spec.get().engine().get(), queue).start();
+        } else {
+            new PlainExchange(context, scope).start();
+        }
+    }
+
+    private void refuse(CallerExchange exchange, Optional<RequestId> id, Refusal refusal) {
+        context.metrics().refused(refusal.reason());
+        int status =
+                new OwnAnswers(context.dialect()).refuse(exchange, id, refusal).code();
+        context.log().log(
+                LogEvent.REQUEST_REFUSED,
+                Field.of("request", id.map(RequestId::value).orElse("none")),
+                Field.of("host", hostOf(exchange)),
+                Field.of("path", exchange.request().path()),
+                Field.of("config", config == null ? -1 : config.version()),
+                Field.of("reason", refusal.reason().code()),
+                Field.of("status", status));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -0,0 +1,176 @@
+package org.mangoridge.gateway.exchange;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.verdict.Refusal;
+import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.gateway.config.Route;
+import org.mangoridge.gateway.net.CallerExchange;
+import org.mangoridge.gateway.net.UpstreamRequest;
+import org.mangoridge.gateway.request.Attempt;
+import org.mangoridge.gateway.request.CallerRequest;
+
+/** What is known of one request while it is served: its route, its deadline and how far it may have run. */
+final class RequestScope {
+
+    private final GatewayContext context;
+    private final CallerExchange exchange;
+    private final Route route;
+    private final ServiceId service;
+    private final CallerRequest caller;
+    private final long configVersion;
+    private final Duration deadline;
+    private Verdict verdict = Verdict.NOT_RUN;
+    private int runs;
+    private int sends;
+
+    RequestScope(
+            GatewayContext context,
+            CallerExchange exchange,
+            Route route,
+            ServiceId service,
+            CallerRequest caller,
+            long configVersion) {
+        this.context = context;
+        this.exchange = exchange;
+        this.route = route;
+        this.service = service;
+        this.caller = caller;
+        this.configVersion = configVersion;
+        Duration patience = caller.patience().orElse(route.timeout());
+        Duration longest = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
+        this.deadline = arrived().plus(longest);
+    }
+
+    CallerExchange exchange() {
+        return exchange;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    ServiceId service() {
+        return service;
+    }
+
+    CallerRequest caller() {
+        return caller;
+    }
+
+    Duration arrived() {
+        return exchange.request().arrived();
+    }
+
+    Duration deadline() {
+        return deadline;
+    }
+
+    Duration left() {
+        return deadline.minus(context.now());
+    }
+
+    Duration age() {
+        return context.now().minus(arrived());
+    }
+
+    Verdict verdict() {
+        return verdict;
+    }
+
+    /** Takes note of how far a server came with the request; called once for each server at its end. */
+    void serverEnded(Verdict reached) {
+        if (reached != Verdict.NOT_RUN) {
+            runs++;
+        }
+        verdict = verdict.worse(reached);
+    }
+
+    /** Returns how many servers may have run the request. */
+    int runs() {
+        return runs;
+    }
+
+    /** Takes note that the request is sent to a server. */
+    void sent() {
+        sends++;
+    }
+
+    /** Returns how often the request was sent to a server. */
+    int sends() {
+        return sends;
+    }
+
+    /** Returns the request as it goes to a server. */
+    UpstreamRequest upstream(
+            org.mangoridge.core.net.HostPort address, Attempt attempt, Duration freshness, Duration connectTimeout) {
+        HttpHeaders headers = ForwardHeaders.ofRequest(exchange.request().headers(), context.dialect());
+        context.dialect().writeAttempt(headers, attempt);
+        ByteBuf body = exchange.request().body();
+        return new UpstreamRequest(
+                address,
+                exchange.request().method(),
+                exchange.request().uri(),
+                headers,
+                body,
+                freshness,
+                connectTimeout);
+    }
+
+    /** Answers that the request is not served, and logs why. */
+    void refuse(RefusalReason reason, String detail, Optional<Duration> retryAfter, Field... inputs) {
+        Refusal refusal =
+                new Refusal(reason, verdict, detail, verdict == Verdict.NOT_RUN ? retryAfter : Optional.empty());
+        HttpResponseStatus status =
+                new OwnAnswers(context.dialect()).refuse(exchange, Optional.of(caller.id()), refusal);
+        context.metrics().refused(reason);
+        List<Field> fields = new ArrayList<>(List.of(inputs));
+        fields.add(Field.of("reason", reason.code()));
+        fields.add(Field.of("verdict", verdict.text()));
+        fields.add(Field.of("status", status.code()));
+        fields.add(Field.of("detail", detail));
+        refusal.retryAfter().ifPresent(after -> fields.add(Field.of("retry_after_ms", after)));
+        log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
+    }
+
+    /** Logs a decision on this request with what identifies it. */
+    void log(LogEvent event, Field... inputs) {
+        Field[] fields = new Field[inputs.length + 6];
+        fields[0] = Field.of("request", caller.id());
+        fields[1] = Field.of("route", route.name());
+        fields[2] = Field.of("service", service);
+        fields[3] = Field.of("config", configVersion);
+        fields[4] = Field.of("age_ms", age());
+        fields[5] = Field.of("sends", sends);
+        System.arraycopy(inputs, 0, fields, 6, inputs.length);
+        context.log().log(event, fields);
+    }
+
+    /** Logs that an attempt at a server gave no answer that can be passed on. */
+    void logAttemptFailed(ServerId server, String detail, Field... inputs) {
+        List<Field> fields = new ArrayList<>(List.of(inputs));
+        fields.add(Field.of("server", server));
+        fields.add(Field.of("verdict", verdict.text()));
+        fields.add(Field.of("detail", detail));
+        log(LogEvent.ATTEMPT_FAILED, fields.toArray(Field[]::new));
+    }
+
+    /** Logs that the caller has its final answer from a server. */
+    void logAnswered(ServerId server, int status) {
+        boolean onTime = age().compareTo(route.latencyTarget()) <= 0;
+        context.metrics().count(onTime ? "answered.on_time" : "answered.late");
+        context.metrics().latency("latency." + (route.streaming() ? "stream" : "plain"), age());
+        log(LogEvent.REQUEST_ANSWERED, Field.of("server", server), Field.of("status", status));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** One request from its arrival to its final answer. */
+package org.mangoridge.gateway.exchange;
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/FeedPage.java
@@ -0,0 +1,18 @@
+package org.mangoridge.gateway.follow;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Some of the objects of a kind.
+ *
+ * @param items the objects
+ * @param next the name after which the next page starts; empty if this is the last one
+ * @param revision the store's revision that the page shows
+ */
+public record FeedPage<T>(List<T> items, Optional<String> next, long revision) {
+
+    public FeedPage {
+        items = List.copyOf(items);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/package-info.java
@@ -0,0 +1,2 @@
+/** Follows objects of a store by list and watch. */
+package org.mangoridge.gateway.follow;
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -0,0 +1,146 @@
+package org.mangoridge.gateway.gossip;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.net.HostPort;
+
+/**
+ * The instances that reports come from and go to, as a state machine used by one thread.
+ *
+ * <p>An address that nothing was heard from is written to now and then for a while, so that sides of a cut meet again.
+ */
+public final class PeerTable {
+
+    /** A peer that is silent for this long is not counted as present. */
+    public static final Duration PRESENT = Duration.ofSeconds(3);
+
+    private static final Duration FORGET = Duration.ofSeconds(60);
+    private static final int MAX_ADDRESSES = 1024;
+    private static final int MAX_TOLD = 12;
+
+    private final HostPort self;
+    private final List<HostPort> seeds;
+    private final RandomGenerator random;
+    private final Map<HostPort, Contact> contacts = new LinkedHashMap<>();
+    private final Map<InstanceId, Peer> peers = new HashMap<>();
+
+    private record Contact(Duration learned, Duration heard) {}
+
+    private record Peer(HostPort address, long startedMillis, long sequence, Duration heard, long configVersion) {}
+
+    /** What a report changes. */
+    public enum Outcome {
+        /** It is older than what is known. */
+        STALE,
+        /** It comes from an instance that was not present. */
+        JOINED,
+        /** It renews what is known. */
+        RENEWED,
+        /** Its sender ends. */
+        LEFT
+    }
+
+    private PeerTable(HostPort self, List<HostPort> seeds, RandomGenerator random) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+        this.random = random;
+    }
+
+    /** Returns a table that knows the seeds only; its own address is passed over. */
+    public static PeerTable create(HostPort self, List<HostPort> seeds, RandomGenerator random) {
+        return new PeerTable(self, seeds, random);
+    }
+
+    /** Takes a report that came from {@code from}. */
+    public Outcome received(LoadReport report, HostPort from, Duration now) {
+        report.peers().forEach(address -> learn(address, now));
+        Peer known = peers.get(report.sender());
+        if (known != null && isOlder(report, known)) {
+            return Outcome.STALE;
+        }
+        if (report.leaving()) {
+            peers.remove(report.sender());
+            contacts.remove(from);
+            return Outcome.LEFT;
+        }
+        boolean present = known != null && now.minus(known.heard()).compareTo(PRESENT) <= 0;
+        peers.put(
+                report.sender(),
+                new Peer(from, report.startedMillis(), report.sequence(), now, report.configVersion()));
+        contacts.put(from, new Contact(now, now));
+        return present ? Outcome.RENEWED : Outcome.JOINED;
+    }
+
+    private static boolean isOlder(LoadReport report, Peer known) {
+        if (report.startedMillis() != known.startedMillis()) {
+            return report.startedMillis() < known.startedMillis();
+        }
+        return report.sequence() <= known.sequence();
+    }
+
+    /** Takes an address that an instance may have. */
+    public void learn(HostPort address, Duration now) {
+        if (!address.equals(self) && contacts.size() < MAX_ADDRESSES) {
+            contacts.putIfAbsent(address, new Contact(now, null));
+        }
+    }
+
+    /** Returns the instances that fell silent since the last call, and forgets addresses that were silent for long. */
+    public List<InstanceId> expire(Duration now) {
+        List<InstanceId> gone = new ArrayList<>();
+        peers.entrySet().removeIf(each -> {
+            boolean silent = now.minus(each.getValue().heard()).compareTo(PRESENT) > 0;
+            if (silent) {
+                gone.add(each.getKey());
+            }
+            return silent;
+        });
+        contacts.values().removeIf(contact -> {
+            Duration last = contact.heard() == null ? contact.learned() : contact.heard();
+            return now.minus(last).compareTo(FORGET) > 0;
+        });
+        return gone;
+    }
+
+    /** Returns where reports go: to every instance that is present. */
+    public Collection<HostPort> present() {
+        return peers.values().stream().map(Peer::address).distinct().toList();
+    }
+
+    /** Returns addresses to try where no instance is known to be present. */
+    public List<HostPort> absent() {
+        Collection<HostPort> present = present();
+        List<HostPort> addresses = new ArrayList<>(seeds);
+        addresses.addAll(contacts.keySet());
+        return addresses.stream()
+                .filter(address -> !present.contains(address) && !address.equals(self))
+                .distinct()
+                .toList();
+    }
+
+    /** Returns some addresses of present instances to tell others of. */
+    public List<HostPort> some() {
+        List<HostPort> addresses = new ArrayList<>(present());
+        java.util.Collections.shuffle(addresses, java.util.Random.from(random));
+        return addresses.subList(0, Math.min(MAX_TOLD, addresses.size()));
+    }
+
+    /** Returns the greatest version of the configuration that a present instance has. */
+    public Optional<Long> newestConfig() {
+        return peers.values().stream().map(Peer::configVersion).max(Long::compare);
+    }
+
+    /** Returns the number of instances that are present. */
+    public int size() {
+        return peers.size();
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/package-info.java
@@ -0,0 +1,2 @@
+/** Instances tell each other of the load that they put on servers. */
+package org.mangoridge.gateway.gossip;
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
@@ -0,0 +1,69 @@
+package org.mangoridge.gateway.net;
+
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import org.mangoridge.core.Result;
+
+/** Collects an answer whole. */
+public final class BodyCollector implements CallListener {
+
+    private final int maxBytes;
+    private final Consumer<Result<Answer, CallFailure>> done;
+    private final ByteBuf body = Unpooled.buffer(1024);
+    private int status;
+    private boolean overflow;
+
+    /**
+     * A whole answer.
+     *
+     * @param status the HTTP status
+     * @param body the body
+     */
+    public record Answer(int status, byte[] body) {}
+
+    private BodyCollector(int maxBytes, Consumer<Result<Answer, CallFailure>> done) {
+        this.maxBytes = maxBytes;
+        this.done = done;
+    }
+
+    /** Returns a collector of bodies of at most {@code maxBytes}; {@code done} hears of the end, once. */
+    public static BodyCollector of(int maxBytes, Consumer<Result<Answer, CallFailure>> done) {
+        return new BodyCollector(maxBytes, done);
+    }
+
+    @Override
+    public boolean head(HttpResponse head) {
+        status = head.status().code();
+        return true;
+    }
+
+    @Override
+    public void data(ByteBuf data) {
+        overflow |= body.readableBytes() + data.readableBytes() > maxBytes;
+        if (!overflow) {
+            body.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void ended() {
+        byte[] bytes = ByteBufUtil.getBytes(body);
+        body.release();
+        if (overflow) {
+            done.accept(Result.err(new CallFailure(
+                    org.mangoridge.core.verdict.AttemptProgress.ANSWER_RECEIVED, false, "answer is too large")));
+        } else {
+            done.accept(Result.ok(new Answer(status, bytes)));
+        }
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        body.release();
+        done.accept(Result.err(failure));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -0,0 +1,271 @@
+package org.mangoridge.gateway.net;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import org.mangoridge.core.time.Clock;
+
+/**
+ * One connection of a caller: collects requests, answers them one after the other.
+ *
+ * <p>Requests that are sent before the answer to the one before wait in a short queue.
+ */
+final class FrontConnection extends ChannelInboundHandlerAdapter {
+
+    /** Messages of requests sent ahead that are kept before reading stops. */
+    private static final int MAX_AHEAD = 32;
+
+    private final Clock clock;
+    private final FrontState state;
+    private final RequestHandler handler;
+    private final BodyMemory memory;
+    private final Deque<HttpObject> ahead = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Duration headArrived;
+    private Duration waitingSince;
+    private boolean partialHead;
+    private boolean keepAlive;
+    private FrontExchange exchange;
+    private boolean closing;
+
+    FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory) {
+        this.clock = clock;
+        this.state = state;
+        this.handler = handler;
+        this.memory = memory;
+        this.waitingSince = clock.elapsed();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    /** Takes note that bytes came, before they are decoded. */
+    void bytesArrived() {
+        if (exchange == null && head == null && !partialHead) {
+            partialHead = true;
+            waitingSince = clock.elapsed();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext unused, Object message) {
+        HttpObject part = (HttpObject) message;
+        if (closing) {
+            ReferenceCountUtil.release(part);
+        } else if (exchange != null) {
+            ahead.addLast(part);
+            if (ahead.size() >= MAX_AHEAD) {
+                context.channel().config().setAutoRead(false);
+            }
+        } else {
+            take(part);
+        }
+    }
+
+    private void take(HttpObject part) {
+        try {
+            if (part.decoderResult().isFailure()) {
+                reject(statusOf(part.decoderResult().cause()));
+            } else if (part instanceof HttpRequest request) {
+                takeHead(request);
+            }
+            if (!closing && exchange == null && part instanceof HttpContent content) {
+                takeContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private static HttpResponseStatus statusOf(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return HttpResponseStatus.BAD_REQUEST;
+    }
+
+    private void takeHead(HttpRequest request) {
+        partialHead = false;
+        headArrived = clock.elapsed();
+        keepAlive = HttpUtil.isKeepAlive(request);
+        if (RequestFraming.isAmbiguous(request)) {
+            reject(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        long length = HttpUtil.getContentLength(request, -1L);
+        if (length > state.limits().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        head = request;
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void takeContent(HttpContent content) {
+        if (head == null) {
+            return;
+        }
+        ByteBuf data = content.content();
+        if (data.isReadable()) {
+            if (body.readableBytes() + data.readableBytes() > state.limits().maxBodyBytes()) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            if (!memory.tryTake(data.readableBytes())) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            append(data);
+        }
+        if (content instanceof LastHttpContent) {
+            dispatch();
+        }
+    }
+
+    private void append(ByteBuf data) {
+        if (body == Unpooled.EMPTY_BUFFER) {
+            body = context.alloc().heapBuffer(data.readableBytes());
+        }
+        body.writeBytes(data);
+    }
+
+    private void dispatch() {
+        InboundRequest request = new InboundRequest(head.method(), head.uri(), head.headers(), body, headArrived);
+        head = null;
+        body = Unpooled.EMPTY_BUFFER;
+        exchange = new FrontExchange(this, context, request, keepAlive);
+        handler.handle(exchange);
+    }
+
+    /** Goes on with the next request after an answer was sent. */
+    void answered(FrontExchange done, boolean close) {
+        releaseBody(done.request().body());
+        exchange = null;
+        waitingSince = clock.elapsed();
+        if (close) {
+            closing = true;
+            dropAhead();
+            return;
+        }
+        while (exchange == null && !closing && !ahead.isEmpty()) {
+            take(ahead.pollFirst());
+        }
+        if (!closing && ahead.size() < MAX_AHEAD) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    boolean leaving() {
+        return state.leaving();
+    }
+
+    private void reject(HttpResponseStatus status) {
+        closing = true;
+        releaseBody(body);
+        body = Unpooled.EMPTY_BUFFER;
+        head = null;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Closes the connection if the caller takes longer than it may; called now and then. */
+    void checkTime() {
+        if (exchange != null || closing) {
+            return;
+        }
+        Duration now = clock.elapsed();
+        Duration waited = now.minus(waitingSince);
+        if (head != null) {
+            if (now.minus(headArrived).compareTo(state.limits().idleTimeout()) > 0) {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        } else if (partialHead) {
+            if (waited.compareTo(state.limits().headerTimeout()) > 0) {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            }
+        } else if (waited.compareTo(state.limits().idleTimeout()) > 0) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    /** Closes the connection if no request is in progress on it. */
+    void closeIfIdle() {
+        if (exchange == null && head == null && !partialHead && !closing) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    boolean busy() {
+        return exchange != null;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext unused) {
+        closing = true;
+        dropAhead();
+        releaseBody(body);
+        body = Unpooled.EMPTY_BUFFER;
+        if (exchange != null) {
+            FrontExchange gone = exchange;
+            exchange = null;
+            gone.callerGone();
+            releaseBody(gone.request().body());
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext unused) {
+        if (exchange != null) {
+            exchange.writable(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
+        context.close();
+    }
+
+    private void dropAhead() {
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
+    }
+
+    private void releaseBody(ByteBuf released) {
+        memory.giveBack(released.readableBytes());
+        released.release();
+    }
+
+    static DefaultHttpHeaders noHeaders() {
+        return new DefaultHttpHeaders();
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -0,0 +1,128 @@
+package org.mangoridge.gateway.net;
+
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** The answer to one request on one connection of a caller. */
+final class FrontExchange implements CallerExchange {
+
+    private final FrontConnection connection;
+    private final ChannelHandlerContext context;
+    private final InboundRequest request;
+    private final boolean keepAlive;
+    private Runnable gone = () -> {};
+    private Consumer<Boolean> writable = on -> {};
+    private boolean ended;
+    private boolean closeAfter;
+
+    FrontExchange(
+            FrontConnection connection, ChannelHandlerContext context, InboundRequest request, boolean keepAlive) {
+        this.connection = connection;
+        this.context = context;
+        this.request = request;
+        this.keepAlive = keepAlive;
+    }
+
+    @Override
+    public InboundRequest request() {
+        return request;
+    }
+
+    @Override
+    public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        if (ended) {
+            body.release();
+            return;
+        }
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        frame(headers);
+        end(context.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)));
+    }
+
+    @Override
+    public void begin(HttpResponseStatus status, HttpHeaders headers) {
+        if (ended) {
+            return;
+        }
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        frame(headers);
+        context.writeAndFlush(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+    }
+
+    private void frame(HttpHeaders headers) {
+        closeAfter = !keepAlive || connection.leaving();
+        if (closeAfter) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    @Override
+    public void write(ByteBuf data) {
+        if (ended) {
+            data.release();
+        } else {
+            context.writeAndFlush(new DefaultHttpContent(data));
+        }
+    }
+
+    @Override
+    public void finish() {
+        if (!ended) {
+            end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        }
+    }
+
+    @Override
+    public void cut() {
+        if (!ended) {
+            ended = true;
+            connection.answered(this, true);
+            context.close();
+        }
+    }
+
+    @Override
+    public void onGone(Runnable listener) {
+        gone = listener;
+    }
+
+    @Override
+    public void onWritable(Consumer<Boolean> listener) {
+        writable = listener;
+    }
+
+    void callerGone() {
+        if (!ended) {
+            ended = true;
+            gone.run();
+        }
+    }
+
+    void writable(boolean on) {
+        writable.accept(on);
+    }
+
+    private void end(ChannelFuture sent) {
+        ended = true;
+        if (closeAfter) {
+            sent.addListener(ChannelFutureListener.CLOSE);
+        }
+        connection.answered(this, closeAfter);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -0,0 +1,138 @@
+package org.mangoridge.gateway.net;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.core.time.Clock;
+
+/** Listens for callers; used on one event loop. */
+public final class FrontServer {
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+    private static final int BACKLOG = 512;
+    private static final int MAX_LINE_BYTES = 16 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final FrontState state;
+    private final RequestHandler handler;
+    private final BodyMemory memory;
+    private final int maxConnections;
+    private final Set<FrontConnection> connections = new HashSet<>();
+    private Channel listening;
+
+    private FrontServer(
+            EventLoop loop,
+            Clock clock,
+            FrontState state,
+            RequestHandler handler,
+            BodyMemory memory,
+            int maxConnections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.state = state;
+        this.handler = handler;
+        this.memory = memory;
+        this.maxConnections = maxConnections;
+    }
+
+    /** Returns a server that does not listen yet; it holds at most {@code maxConnections}. */
+    public static FrontServer create(
+            EventLoop loop,
+            Clock clock,
+            FrontState state,
+            RequestHandler handler,
+            BodyMemory memory,
+            int maxConnections) {
+        return new FrontServer(loop, clock, state, handler, memory, maxConnections);
+    }
+
+    /** Starts to listen. */
+    public ChannelFuture listen(HostPort address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(address.socketAddress());
+        listening = bound.channel();
+        loop.scheduleWithFixedDelay(
+                this::checkTimes, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        return bound;
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return ((java.net.InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    private void accept(Channel channel) {
+        if (connections.size() >= maxConnections) {
+            channel.close();
+            return;
+        }
+        FrontConnection connection = new FrontConnection(clock, state, handler, memory);
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        HttpDecoderConfig config = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(state.limits().maxHeaderBytes())
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+        channel.pipeline()
+                .addLast(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object message) {
+                        connection.bytesArrived();
+                        context.fireChannelRead(message);
+                    }
+                })
+                .addLast(new HttpServerCodec(config))
+                .addLast(connection);
+    }
+
+    private void checkTimes() {
+        connections.forEach(FrontConnection::checkTime);
+    }
+
+    /** Closes the connections that have no request in progress. */
+    public void closeIdle() {
+        Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+    }
+
+    /** Returns the number of requests in progress. */
+    public long busy() {
+        return connections.stream().filter(FrontConnection::busy).count();
+    }
+
+    /** Returns the number of connections. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    /** Stops listening; connections stay. */
+    public void stopListening() {
+        listening.close();
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/InboundRequest.java
@@ -0,0 +1,33 @@
+package org.mangoridge.gateway.net;
+
+import java.time.Duration;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+
+/**
+ * A whole request of a caller.
+ *
+ * @param method the method
+ * @param uri the target, as written
+ * @param headers the headers
+ * @param body the body; released when the exchange ends
+ * @param arrived when its head had arrived
+ */
+public record InboundRequest(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, Duration arrived) {
+
+    private static final String SCHEME_MARK = "://";
+
+    /** Returns the path of the target, without query. */
+    public String path() {
+        String path = uri;
+        int scheme = path.indexOf(SCHEME_MARK);
+        if (scheme > 0 && !path.startsWith("/")) {
+            int slash = path.indexOf('/', scheme + SCHEME_MARK.length());
+            path = slash < 0 ? "/" : path.substring(slash);
+        }
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamRequest.java
@@ -0,0 +1,44 @@
+package org.mangoridge.gateway.net;
+
+import java.time.Duration;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.mangoridge.core.Checks;
+import org.mangoridge.core.net.HostPort;
+
+/**
+ * A request to a server.
+ *
+ * @param address where the server listens
+ * @param method the method
+ * @param uri the target, as written
+ * @param headers the headers, without those that frame the body
+ * @param body the body; the caller keeps its reference
+ * @param freshness how long ago a kept connection must have been used to be used again; zero asks for a new one
+ * @param connectTimeout how long a new connection may take
+ */
+public record UpstreamRequest(
+        HostPort address,
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        ByteBuf body,
+        Duration freshness,
+        Duration connectTimeout) {
+
+    public UpstreamRequest {
+        Checks.notNull(address, "address");
+        Checks.notNull(headers, "headers");
+        Checks.notNull(body, "body");
+    }
+
+    /** Returns a request without a body. */
+    public static UpstreamRequest bodiless(
+            HostPort address, HttpMethod method, String uri, HttpHeaders headers, Duration connectTimeout) {
+        return new UpstreamRequest(
+                address, method, uri, headers, Unpooled.EMPTY_BUFFER, Duration.ofHours(1), connectTimeout);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connections: callers on one side, servers on the other, all on one event loop. */
+package org.mangoridge.gateway.net;
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -0,0 +1,270 @@
+package org.mangoridge.gateway.node;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.mangoridge.core.event.Field;
+import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.time.Clock;
+import org.mangoridge.gateway.balance.EngineBalancer;
+import org.mangoridge.gateway.balance.EnginePace;
+import org.mangoridge.gateway.balance.LoadBook;
+import org.mangoridge.gateway.balance.PlainBalancer;
+import org.mangoridge.gateway.balance.RetryBudget;
+import org.mangoridge.gateway.balance.ServerTracks;
+import org.mangoridge.gateway.config.CallerLimits;
+import org.mangoridge.gateway.config.GatewayConfig;
+import org.mangoridge.gateway.directory.ServerDirectory;
+import org.mangoridge.gateway.exchange.GatewayContext;
+import org.mangoridge.gateway.exchange.GatewayMetrics;
+import org.mangoridge.gateway.exchange.RequestRouter;
+import org.mangoridge.gateway.follow.Follower;
+import org.mangoridge.gateway.gossip.LoadExchange;
+import org.mangoridge.gateway.gossip.PeerTable;
+import org.mangoridge.gateway.log.EventSink;
+import org.mangoridge.gateway.net.BodyMemory;
+import org.mangoridge.gateway.net.FrontServer;
+import org.mangoridge.gateway.net.FrontState;
+import org.mangoridge.gateway.net.UpstreamPool;
+import org.mangoridge.gateway.request.WireDialect;
+
+/** An entry instance: binds decisions to connections, timers and the store, all on one event loop. */
+public final class GatewayNode implements FrontState {
+
+    private static final Duration TICK = Duration.ofMillis(100);
+    /** A tick that is late by more than this shows that the process stood still. */
+    private static final Duration PAUSE_SHOWN = Duration.ofMillis(1500);
+
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+    /** The part of the process's memory that bodies of requests may take. */
+    private static final int BODY_MEMORY_PART = 12;
+    /** The part of the descriptors that connections of callers may take. */
+    private static final double FRONT_DESCRIPTORS = 0.6;
+    /** How long the balancer may take to stop sending new connections: two checks and their way. */
+    private static final Duration BALANCER_DELAY = Duration.ofMillis(3200);
+    /** What is left of the grace time when the process ends by itself. */
+    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+
+    /** How long after a peer this instance may learn of a configuration before it asks for itself. */
+    private static final Duration CONFIG_LAG = Duration.ofMillis(400);
+
+    private final GatewaySettings settings;
+    private final Clock clock;
+    private final EventSink log;
+    private final NioEventLoopGroup group;
+    private final EventLoop loop;
+    private final GatewayContext context;
+    private final RequestRouter router;
+    private final FrontServer front;
+    private final LoadExchange exchange;
+    private final PeerTable peers;
+    private final Follower<GatewayConfig> configFollower;
+    private final Follower<org.mangoridge.gateway.directory.ServerEntry> serverFollower;
+    private final ServerEvents serverEvents;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private Duration lastTick;
+    private Duration leavingSince;
+    private long askedFor = -1;
+    private boolean wasReady;
+
+    private GatewayNode(
+            GatewaySettings settings,
+            Clock clock,
+            RandomGenerator random,
+            EventSink log,
+            WireDialect dialect,
+            BiFunction<EventLoop, UpstreamPool, GatewayFeeds> feeds) {
+        this.settings = settings;
+        this.clock = clock;
+        this.log = log;
+        this.group = new NioEventLoopGroup(1);
+        this.loop = group.next();
+        UpstreamPool pool = UpstreamPool.create(loop, clock);
+        ServerDirectory directory = ServerDirectory.create();
+        LoadBook loads = LoadBook.create();
+        ServerTracks tracks = ServerTracks.create();
+        EnginePace pace = EnginePace.create();
+        RetryBudget budget =
+                RetryBudget.create(settings.repeatRatio(), settings.repeatAllowance(), settings.repeatWindow());
+        this.context = new GatewayContext(
+                loop,
+                clock,
+                random,
+                dialect,
+                pool,
+                directory,
+                loads,
+                tracks,
+                pace,
+                budget,
+                PlainBalancer.create(loads, tracks, settings.zone(), random),
+                EngineBalancer.create(loads, tracks, pace, settings.zone()),
+                GatewayMetrics.create(),
+                log);
+        this.router = RequestRouter.create(context);
+        this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
+        this.exchange = LoadExchange.create(
+                loop,
+                clock,
+                settings.instance(),
+                peers,
+                loads,
+                () -> router.config().map(GatewayConfig::version).orElse(-1L),
+                this::peersReported,
+                log);
+        loads.onOwnChange(exchange::loadChanged);
+        BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_PART);
+        int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTORS);
+        this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
+        GatewayFeeds sources = feeds.apply(loop, pool);
+        this.serverEvents = new ServerEvents(context, router::roomMayHaveCome);
+        this.serverFollower = Follower.create(sources.servers(), serverEvents, this::later, random);
+        this.configFollower = Follower.create(
+                sources.configs(), new ConfigEvents(router, log, context.metrics()), this::later, random);
+    }
+
+    /**
+     * Returns an instance that does not run yet.
+     *
+     * @param feeds makes the sources of configuration and servers, on the instance's event loop
+     */
+    public static GatewayNode create(
+            GatewaySettings settings,
+            Clock clock,
+            RandomGenerator random,
+            EventSink log,
+            WireDialect dialect,
+            BiFunction<EventLoop, UpstreamPool, GatewayFeeds> feeds) {
+        return new GatewayNode(settings, clock, random, log, dialect, feeds);
+    }
+
+    /** Listens, follows the store and serves. */
+    public void start() throws InterruptedException {
+        front.listen(settings.front()).sync();
+        FrontServer status = FrontServer.create(
+                loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 64);
+        status.listen(settings.ready()).sync();
+        FrontServer metrics = FrontServer.create(
+                loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 16);
+        metrics.listen(settings.metrics()).sync();
+        exchange.start(settings.peer()).sync();
+        loop.submit(this::begin).sync();
+        log.log(
+                LogEvent.INSTANCE_STARTED,
+                Field.of("zone", settings.zone()),
+                Field.of("front", settings.front()),
+                Field.of("ready", settings.ready()),
+                Field.of("peer", settings.peer()),
+                Field.of("metrics", settings.metrics()));
+    }
+
+    private void begin() {
+        lastTick = clock.elapsed();
+        loop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> context.pool().sweep(), SWEEP.toMillis(), SWEEP.toMillis(), TimeUnit.MILLISECONDS);
+        configFollower.restart();
+        serverFollower.restart();
+    }
+
+    private void later(Duration delay, Runnable task) {
+        loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void peersReported() {
+        router.roomMayHaveCome();
+        long own = router.config().map(GatewayConfig::version).orElse(-1L);
+        long newest = peers.newestConfig().orElse(-1L);
+        if (newest > own && newest > askedFor) {
+            askedFor = newest;
+            later(CONFIG_LAG, () -> {
+                if (router.config().map(GatewayConfig::version).orElse(-1L) < newest) {
+                    configFollower.restart();
+                }
+            });
+        }
+    }
+
+    private void tick() {
+        Duration now = clock.elapsed();
+        Duration late = now.minus(lastTick).minus(TICK);
+        lastTick = now;
+        if (late.compareTo(PAUSE_SHOWN) > 0) {
+            log.log(LogEvent.INSTANCE_PAUSED, Field.of("for_ms", late));
+            context.pool().forgetAll();
+            configFollower.restart();
+            serverFollower.restart();
+        }
+        serverEvents.expire(now);
+        tellReadiness();
+        if (leavingSince != null) {
+            leave(now);
+        }
+    }
+
+    private void tellReadiness() {
+        boolean ready = ready();
+        if (ready != wasReady) {
+            wasReady = ready;
+            log.log(LogEvent.INSTANCE_READINESS, Field.of("ready", ready));
+        }
+    }
+
+    private void leave(Duration now) {
+        Duration since = now.minus(leavingSince);
+        boolean drained = since.compareTo(BALANCER_DELAY) > 0 && front.busy() == 0;
+        boolean outOfTime = since.compareTo(settings.grace().minus(GRACE_MARGIN)) > 0;
+        if (drained || outOfTime) {
+            log.log(
+                    LogEvent.INSTANCE_STOPPED,
+                    Field.of("after_ms", since),
+                    Field.of("requests_cut", front.busy()),
+                    Field.of("connections", front.connectionCount()));
+            exchange.leave();
+            leavingSince = null;
+            later(Duration.ofMillis(50), ended::countDown);
+        }
+    }
+
+    /** Begins to end: the balancer is told, requests in progress and those still sent here are served. */
+    public void drain() {
+        loop.execute(() -> {
+            if (leavingSince == null) {
+                leavingSince = clock.elapsed();
+                log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.busy()));
+            }
+        });
+    }
+
+    /** Waits until the instance has ended. */
+    public void awaitEnd() throws InterruptedException {
+        ended.await();
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells whether callers may be sent here: a configuration and servers are known, and the instance stays. */
+    public boolean ready() {
+        return leavingSince == null && router.config().isPresent() && serverEvents.listed();
+    }
+
+    @Override
+    public CallerLimits limits() {
+        return router.config().map(GatewayConfig::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    @Override
+    public boolean leaving() {
+        return leavingSince != null;
+    }
+
+    /** Returns the instance's id. */
+    public InstanceId instance() {
+        return settings.instance();
+    }
+}
