--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
@@ -20,7 +20,7 @@
 public final class EngineBalancer {
 
     /** The part of a server's KV cache that is filled; the rest takes up requests that peers place unseen. */
-    private static final double FILL = 0.92;
+    private static final double FILL = 0.95;
     /** How much later than a direct one a split placement may be and still be taken. */
     private static final double DIRECT_PENALTY_MILLIS = 250;
     /** How much later a placement within one zone may be and still be taken: transfers between zones cost twice. */
@@ -131,7 +131,7 @@
 
     private boolean hasDecodeRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
         LoadShare load = loads.total(server.id());
-        return load.requests() < server.slots() && load.kvTokens() + demand.total() <= spec.kvCapacity() * FILL;
+        return load.requests() < server.slots() && load.kvTokens() + demand.held(0) <= spec.kvCapacity() * FILL;
     }
 
     private boolean hasPrefillRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/EngineSpec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/EngineSpec.java
@@ -9,13 +9,15 @@
  *
  * @param slots requests that one server works on at once
  * @param kvCapacity KV cache of one server, in tokens
+ * @param eventTokens the most tokens that one event of a stream carries
  * @param handleRetention how long a server keeps the KV cache of a prefill that nobody has taken
  */
-public record EngineSpec(int slots, int kvCapacity, Duration handleRetention) {
+public record EngineSpec(int slots, int kvCapacity, int eventTokens, Duration handleRetention) {
 
     public EngineSpec {
         Checks.argument(slots > 0, "slots must be positive: %d", slots);
         Checks.argument(kvCapacity > 0, "KV capacity must be positive: %d", kvCapacity);
+        Checks.argument(eventTokens > 0, "eventTokens must be positive: %d", eventTokens);
         Checks.notNull(handleRetention, "handleRetention");
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -21,7 +21,6 @@
 import org.mangoridge.gateway.request.AttemptWork;
 import org.mangoridge.gateway.request.RepeatRule;
 import org.mangoridge.gateway.request.ServerReply;
-import org.mangoridge.gateway.request.TokenDemand;
 
 /** Has a request run by a decode server and passes its events on; holds room there from the start. */
 final class DecodeStep implements CallListener {
@@ -29,13 +28,16 @@
     /** A stream without an event for this long beyond what was expected is stalled. */
     private static final Duration STALL = Duration.ofMillis(900);
 
+    /** Events after which the memory that a request holds is counted anew, about half a second. */
+    private static final int EVENTS_PER_COUNT = 10;
+
     private static final int MAX_FAILURE_BYTES = 64 << 10;
 
     private final GatewayContext context;
     private final ModelExchange exchange;
     private final ServerEntry server;
     private final Duration expected;
-    private final LoadShare held;
+    private LoadShare held;
     private LoadShare reading = LoadShare.NONE;
     private AttemptWork work;
     private UpstreamCall call;
@@ -46,6 +48,7 @@
     private ByteBuf failureBody = Unpooled.EMPTY_BUFFER;
     private Duration started;
     private boolean sawEvent;
+    private int eventsSeen;
     private boolean resumed;
     private boolean ejected;
     private boolean released;
@@ -55,8 +58,7 @@
         this.exchange = exchange;
         this.server = server;
         this.expected = expected;
-        TokenDemand demand = exchange.scope().caller().tokens();
-        this.held = new LoadShare(1, 0, demand.total());
+        this.held = new LoadShare(1, 0, exchange.scope().caller().tokens().held(0));
         context.loads().add(server.id(), held);
     }
 
@@ -201,6 +203,18 @@
         }
         exchange.event(event);
         watch(STALL);
+        if (++eventsSeen % EVENTS_PER_COUNT == 0) {
+            countAgain();
+        }
+    }
+
+    /** Counts the KV cache anew that the request holds by now. */
+    private void countAgain() {
+        int generated = eventsSeen * exchange.spec().eventTokens();
+        LoadShare grown = new LoadShare(1, 0, exchange.scope().caller().tokens().held(generated));
+        context.loads().subtract(server.id(), held);
+        held = grown;
+        context.loads().add(server.id(), held);
     }
 
     private void firstEvent() {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -48,6 +48,7 @@
     private boolean begun;
     private boolean ended;
     private OptionalLong lastEvent;
+    private int eventsDelivered;
 
     ModelExchange(GatewayContext context, RequestScope scope, EngineSpec spec, ModelQueue queue) {
         this.context = context;
@@ -230,6 +231,7 @@
         if (event.id().isPresent()) {
             lastEvent = event.id();
         }
+        eventsDelivered++;
         scope.exchange().write(Unpooled.wrappedBuffer(event.bytes()));
     }
 
@@ -238,7 +240,12 @@
         releasePrefill();
         end();
         scope.exchange().finish();
-        scope.logAnswered(server.id(), status);
+        scope.logAnswered(
+                server.id(),
+                status,
+                Field.of("events", eventsDelivered),
+                Field.of("prompt_tokens", scope.caller().tokens().prompt()),
+                Field.of("max_output", scope.caller().tokens().maxOutput()));
     }
 
     /** A server's own failure is the answer. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -167,10 +167,13 @@
     }
 
     /** Logs that the caller has its final answer from a server. */
-    void logAnswered(ServerId server, int status) {
+    void logAnswered(ServerId server, int status, Field... details) {
         boolean onTime = age().compareTo(route.latencyTarget()) <= 0;
         context.metrics().count(onTime ? "answered.on_time" : "answered.late");
         context.metrics().latency("latency." + (route.streaming() ? "stream" : "plain"), age());
-        log(LogEvent.REQUEST_ANSWERED, Field.of("server", server), Field.of("status", status));
+        List<Field> fields = new ArrayList<>(List.of(details));
+        fields.add(Field.of("server", server));
+        fields.add(Field.of("status", status));
+        log(LogEvent.REQUEST_ANSWERED, fields.toArray(Field[]::new));
     }
 }
