Tell peers at once of room taken at a server, hand read prompts to another server when one is full

Decode servers rejected them: two instances took the same room within the 48 ms between reports, streams of an instance that lost power went on unseen, and every rejection had the prompt read again. Ruled out: lost datagrams (every report arrived in the log). Change: room taken is reported within 1 ms, other changes every 100 ms; a silent peer's load counts for 6 s; a rejected prompt goes to another server while its KV cache is kept; a server that rejected counts as full for 300 ms.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
@@ -1,7 +1,9 @@
 package org.mangoridge.gateway.balance;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.mangoridge.core.id.AvailabilityZone;
@@ -19,6 +21,8 @@
  */
 public final class EngineBalancer {
 
+    /** How much fuller a server in the own zone may be and still be taken. */
+    private static final double FAR_TOKENS = 2000;
     /** The part of a server's KV cache that is filled; the rest takes up requests that peers place unseen. */
     private static final double FILL = 0.95;
     /** How much later than a direct one a split placement may be and still be taken. */
@@ -70,7 +74,7 @@
         List<ServerEntry> sound = soundOf(servers, avoid, now);
         Choice best = null;
         for (ServerEntry decode : sound) {
-            if (decode.stage() == ServerStage.PREFILL || !hasDecodeRoom(decode, spec, demand)) {
+            if (decode.stage() == ServerStage.PREFILL || !hasDecodeRoom(decode, spec, demand, now)) {
                 continue;
             }
             best = better(best, direct(decode, demand, now));
@@ -87,6 +91,23 @@
         return expected.compareTo(within) <= 0 ? best.placement() : new EnginePlacement.NoRoom(expected);
     }
 
+    /**
+     * Returns the decode server that has most room for a prompt that is read already; empty if none has room.
+     *
+     * @param avoid servers that failed or rejected the request before
+     */
+    public Optional<ServerEntry> chooseDecode(
+            List<ServerEntry> servers, EngineSpec spec, TokenDemand demand, Set<ServerId> avoid, Duration now) {
+        return soundOf(servers, avoid, now).stream()
+                .filter(server -> server.stage() != ServerStage.PREFILL && hasDecodeRoom(server, spec, demand, now))
+                .min(Comparator.comparingDouble(
+                        server -> loads.total(server.id()).kvTokens() + FAR_TOKENS * far(server)));
+    }
+
+    private int far(ServerEntry server) {
+        return server.zone().equals(zone) ? 0 : 1;
+    }
+
     private List<ServerEntry> soundOf(List<ServerEntry> servers, Set<ServerId> avoid, Duration now) {
         List<ServerEntry> sound = servers.stream()
                 .filter(server -> tracks.usable(server.id(), now) && !avoid.contains(server.id()))
@@ -129,9 +150,11 @@
         return crowd + errors + slow + far;
     }
 
-    private boolean hasDecodeRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
+    private boolean hasDecodeRoom(ServerEntry server, EngineSpec spec, TokenDemand demand, Duration now) {
         LoadShare load = loads.total(server.id());
-        return load.requests() < server.slots() && load.kvTokens() + demand.held(0) <= spec.kvCapacity() * FILL;
+        return !loads.isFull(server.id(), now)
+                && load.requests() < server.slots()
+                && load.kvTokens() + demand.held(0) <= spec.kvCapacity() * FILL;
     }
 
     private boolean hasPrefillRoom(ServerEntry server, EngineSpec spec, TokenDemand demand) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/LoadBook.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/LoadBook.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
@@ -12,13 +13,28 @@
  */
 public final class LoadBook {
 
-    /** A peer that has not been heard of for this long counts as without load; ten reports of a calm peer. */
-    public static final Duration PEER_STALE = Duration.ofSeconds(3);
+    /**
+     * How long the load of a silent peer still counts. Servers go on with the requests of a machine that lost power,
+     * since nobody closes its connections; a stream takes some seconds.
+     */
+    public static final Duration PEER_STALE = Duration.ofSeconds(6);
+
+    /** How long a server that rejected a request for want of room is taken to be full. */
+    public static final Duration FULL = Duration.ofMillis(300);
 
     private final Map<ServerId, LoadShare> own = new HashMap<>();
     private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
 
-    private Runnable ownChange = () -> {};
+    private final Map<ServerId, Duration> fullUntil = new HashMap<>();
+    private Consumer<Urgency> ownChange = urgency -> {};
+
+    /** How soon peers need to know of a change. */
+    public enum Urgency {
+        /** Room was taken that a peer could promise to another request. */
+        AT_ONCE,
+        /** Anything else. */
+        SOON
+    }
 
     private record PeerLoad(Map<ServerId, LoadShare> loads, Duration heard) {}
 
@@ -30,14 +46,15 @@
     }
 
     /** Names what is told when the own load changed. */
-    public void onOwnChange(Runnable listener) {
+    public void onOwnChange(Consumer<Urgency> listener) {
         ownChange = listener;
     }
 
     /** Adds load that this instance puts on a server. */
     public void add(ServerId server, LoadShare load) {
         own.merge(server, load, LoadShare::plus);
-        ownChange.run();
+        boolean takesRoom = load.requests() > 0 && load.kvTokens() > 0;
+        ownChange.accept(takesRoom ? Urgency.AT_ONCE : Urgency.SOON);
     }
 
     /** Takes back load that was added. */
@@ -48,7 +65,7 @@
         } else {
             own.put(server, left);
         }
-        ownChange.run();
+        ownChange.accept(Urgency.SOON);
     }
 
     /** Replaces what is known of a peer. */
@@ -83,6 +100,21 @@
         return Map.copyOf(own);
     }
 
+    /** Takes note that a server rejected a request for want of room. */
+    public void rejected(ServerId server, Duration now) {
+        fullUntil.put(server, now.plus(FULL));
+    }
+
+    /** Tells whether a server lately rejected a request for want of room. */
+    public boolean isFull(ServerId server, Duration now) {
+        Duration until = fullUntil.get(server);
+        if (until != null && now.compareTo(until) >= 0) {
+            fullUntil.remove(server);
+            return false;
+        }
+        return until != null;
+    }
+
     /** Returns the number of peers that were heard of lately. */
     public int peerCount() {
         return peers.size();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -275,7 +275,10 @@
         if (reply.isFromOtherThan(server.id())) {
             context.directory().drop(server.id());
         }
-        if (!cacheLost) {
+        if (reply.isFull()) {
+            context.loads().rejected(server.id(), context.now());
+            context.tracks().withdrawn(server.id());
+        } else {
             context.tracks().answered(server.id(), true, Duration.ZERO, context.now());
         }
         release();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -20,7 +20,6 @@
 import org.mangoridge.gateway.config.EngineSpec;
 import org.mangoridge.gateway.directory.ServerEntry;
 import org.mangoridge.gateway.request.AttemptWork;
-import org.mangoridge.gateway.request.PrefillAnswer;
 import org.mangoridge.gateway.request.RepeatRule;
 
 /**
@@ -32,6 +31,9 @@
     /** Late requests are placed only if their first token comes this soon, so that they delay none that is on time. */
     private static final double LATE_SHARE = 0.5;
 
+    /** Expected time from the hand-over of KV cache to the first token. */
+    private static final Duration HAND_OVER = Duration.ofMillis(100);
+
     private static final Duration LEAST_RETRY_AFTER = Duration.ofMillis(400);
     private static final int RETRY_SPREAD_MILLIS = 1200;
 
@@ -44,7 +46,6 @@
     private PrefillStep prefill;
     private DecodeStep decode;
     private ScheduledFuture<?> deadlineTimer;
-    private boolean prefillSent;
     private boolean begun;
     private boolean ended;
     private OptionalLong lastEvent;
@@ -140,7 +141,6 @@
                                 context.loads().total(split.decode().id()).kvTokens()));
                 decode = new DecodeStep(context, this, split.decode(), split.firstToken());
                 prefill = new PrefillStep(context, this, split.prefill(), split.firstToken());
-                prefillSent = true;
                 prefill.start();
             }
             case EnginePlacement.Direct direct -> {
@@ -163,8 +163,8 @@
     }
 
     /** The prompt is read; the decode server takes its KV cache over. */
-    void prefilled(ServerEntry server, PrefillAnswer answer) {
-        decode.start(new AttemptWork.FromCache(server.address(), answer.handle()));
+    void prefilled() {
+        decode.start(prefill.cache());
     }
 
     /** The prompt was not read; nothing ran. */
@@ -179,8 +179,11 @@
     /** The decode server did not run the request, or did not come to its end. */
     void decodeFailed(ServerEntry server, Verdict reached, boolean cacheLost, String detail) {
         scope.serverEnded(reached);
-        releasePrefill();
         decode = null;
+        if (cacheLost && handOverElsewhere(server, detail)) {
+            return;
+        }
+        releasePrefill();
         if (cacheLost) {
             context.tracks().answered(prefill.server().id(), true, Duration.ZERO, context.now());
             avoid.add(prefill.server().id());
@@ -190,6 +193,28 @@
         againOrGiveUp(server, reached, detail);
     }
 
+    /** Lets another decode server take the KV cache over, as long as the prefill server keeps it. */
+    private boolean handOverElsewhere(ServerEntry rejecting, String detail) {
+        if (ended || !prefill.keepsCache() || scope.sends() >= RepeatDecision.MAX_SENDS) {
+            return false;
+        }
+        Set<ServerId> others = new HashSet<>(avoid);
+        others.add(rejecting.id());
+        Optional<ServerEntry> other =
+                context.engines().chooseDecode(servers(), spec, scope.caller().tokens(), others, context.now());
+        if (other.isEmpty() || !context.budget().tryRepeat(scope.service(), context.instances(), context.now())) {
+            return false;
+        }
+        scope.logAttemptFailed(
+                rejecting.id(),
+                detail,
+                Field.of("repeated", true),
+                Field.of("next", other.get().id()));
+        decode = new DecodeStep(context, this, other.get(), HAND_OVER);
+        decode.start(prefill.cache());
+        return true;
+    }
+
     private void againOrGiveUp(ServerEntry server, Verdict reached, String detail) {
         boolean again = !ended && mayGoOn(reached);
         scope.logAttemptFailed(server.id(), detail, Field.of("repeated", again), Field.of("delivered", begun));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -32,6 +32,9 @@
     private static final int OVERDUE_FACTOR = 3;
 
     private static final Duration OVERDUE_SLACK = Duration.ofMillis(400);
+    /** Time in which another server begins to take KV cache over. */
+    private static final Duration TAKE_OVER = Duration.ofMillis(60);
+
     private static final int MAX_ANSWER_BYTES = 64 << 10;
 
     private final GatewayContext context;
@@ -47,6 +50,7 @@
     private ServerReply reply;
     private ByteBuf body = Unpooled.buffer(128);
     private String handle;
+    private Duration read;
     private boolean reading = true;
     private boolean holding = true;
 
@@ -88,6 +92,17 @@
         }
     }
 
+    /** Tells whether the server still keeps the KV cache for long enough to be taken over. */
+    boolean keepsCache() {
+        Duration age = context.now().minus(read);
+        return holding && age.plus(TAKE_OVER).compareTo(exchange.spec().handleRetention()) < 0;
+    }
+
+    /** Returns the work of a server that generates from the KV cache. */
+    AttemptWork.FromCache cache() {
+        return new AttemptWork.FromCache(server.address(), handle);
+    }
+
     /** Gives the prefill up, or the KV cache that it made. */
     void abandon() {
         if (reading) {
@@ -158,6 +173,7 @@
         finishReading();
         if (answer.isPresent()) {
             handle = answer.get().handle();
+            read = context.now();
             context.pace().observed(server.id(), expectedMillis, took, context.now());
             exchange.scope()
                     .log(
@@ -165,7 +181,7 @@
                             Field.of("server", server.id()),
                             Field.of("tokens", answer.get().tokens()),
                             Field.of("took_ms", took));
-            exchange.prefilled(server, answer.get());
+            exchange.prefilled();
         } else {
             release();
             if (reply.isFromOtherThan(server.id())) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -26,6 +26,7 @@
     private final GatewayContext context;
     private final ModelQueue queue;
     private GatewayConfig config;
+    private boolean leaving;
 
     private RequestRouter(GatewayContext context) {
         this.context = context;
@@ -51,6 +52,11 @@
         return Optional.ofNullable(config);
     }
 
+    /** From now on tells callers to come back, to another instance: this one ends before it could serve them. */
+    public void refuseNew() {
+        leaving = true;
+    }
+
     /** Looks again for room for requests that wait. */
     public void roomMayHaveCome() {
         queue.roomMayHaveCome();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
@@ -23,21 +23,26 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.gateway.balance.LoadBook;
+import org.mangoridge.gateway.balance.LoadBook.Urgency;
 import org.mangoridge.gateway.balance.LoadShare;
 import org.mangoridge.gateway.log.EventSink;
 
 /**
  * Sends this instance's load to its peers and takes theirs, in datagrams; used on one event loop.
  *
- * <p>A change of the load is sent after a short rest, so that several changes share a datagram; the rest grows with
- * the number of peers. Without changes a report goes out every {@link #CALM_INTERVAL}.
+ * <p>Room that is taken at a server is told at once, lest a peer promises it to another request. Other changes are sent
+ * after a rest, so that several share a datagram; the rest grows with the number of peers. Without changes a report
+ * goes out every {@link #CALM_INTERVAL}.
  */
 public final class LoadExchange {
 
     /** Reports without a change, several within the time after which a peer counts as absent. */
     public static final Duration CALM_INTERVAL = Duration.ofMillis(700);
 
-    private static final Duration SHORTEST_REST = Duration.ofMillis(25);
+    /** Room that is taken in the same turn of the event loop shares a datagram. */
+    private static final Duration URGENT_REST = Duration.ofMillis(1);
+
+    private static final Duration SHORTEST_REST = Duration.ofMillis(100);
     /** Rest for each peer, so that a process sends and takes about 125 datagrams a second in a fleet of any size. */
     private static final Duration REST_PER_PEER = Duration.ofMillis(8);
 
@@ -55,6 +60,7 @@
     private Duration lastSent = Duration.ZERO;
     private Map<ServerId, LoadShare> lastLoads = Map.of();
     private boolean scheduled;
+    private boolean urgent;
 
     private LoadExchange(
             EventLoop loop,
@@ -118,15 +124,20 @@
     }
 
     /** Takes note that the own load may have changed. */
-    public void loadChanged() {
-        if (scheduled || channel == null) {
+    public void loadChanged(Urgency urgency) {
+        if (channel == null) {
             return;
         }
-        scheduled = true;
-        Duration rest = REST_PER_PEER.multipliedBy(table.size());
-        rest = rest.compareTo(SHORTEST_REST) < 0 ? SHORTEST_REST : rest;
-        Duration wait = rest.minus(clock.elapsed().minus(lastSent));
-        loop.schedule(this::sendChange, Math.max(0, wait.toMillis()), TimeUnit.MILLISECONDS);
+        if (urgency == Urgency.AT_ONCE && !urgent) {
+            urgent = true;
+            loop.schedule(this::sendChange, URGENT_REST.toMillis(), TimeUnit.MILLISECONDS);
+        } else if (!scheduled && !urgent) {
+            scheduled = true;
+            Duration rest = REST_PER_PEER.multipliedBy(table.size());
+            rest = rest.compareTo(SHORTEST_REST) < 0 ? SHORTEST_REST : rest;
+            Duration wait = rest.minus(clock.elapsed().minus(lastSent));
+            loop.schedule(this::sendChange, Math.max(0, wait.toMillis()), TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Tells the peers that this instance ends. */
@@ -138,6 +149,7 @@
 
     private void sendChange() {
         scheduled = false;
+        urgent = false;
         if (!loads.ownLoads().equals(lastLoads)) {
             sendToPresent();
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -48,6 +48,8 @@
     private static final double FRONT_DESCRIPTORS = 0.6;
     /** How long the balancer may take to stop sending new connections: two checks and their way. */
     private static final Duration BALANCER_DELAY = Duration.ofMillis(3200);
+    /** How long after the signal to end requests are still taken; callers know by then, and a stream takes seconds. */
+    private static final Duration TAKES_REQUESTS = Duration.ofMillis(2900);
     /** What is left of the grace time when the process ends by itself. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
 
@@ -72,6 +74,7 @@
     private Duration leavingSince;
     private long askedFor = -1;
     private boolean wasReady;
+    private boolean stopped;
 
     private GatewayNode(
             GatewaySettings settings,
@@ -203,7 +206,7 @@
         }
         serverEvents.expire(now);
         tellReadiness();
-        if (leavingSince != null) {
+        if (leavingSince != null && !stopped) {
             leave(now);
         }
     }
@@ -227,7 +230,7 @@
                     Field.of("requests_cut", front.busy()),
                     Field.of("connections", front.connectionCount()));
             exchange.leave();
-            leavingSince = null;
+            stopped = true;
             later(Duration.ofMillis(50), ended::countDown);
         }
     }
@@ -237,6 +240,7 @@
         loop.execute(() -> {
             if (leavingSince == null) {
                 leavingSince = clock.elapsed();
+                later(TAKES_REQUESTS, router::refuseNew);
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.busy()));
             }
         });
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/ServerReply.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/ServerReply.java
@@ -28,6 +28,7 @@
     private static final int FIRST_SUCCESS = 200;
     private static final int AFTER_SUCCESS = 300;
     private static final int FIRST_SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
 
     /** Tells whether the answer is a success that may be passed on. */
     public boolean isProperSuccess() {
@@ -49,6 +50,11 @@
         return notRun || misdirected;
     }
 
+    /** Tells whether the server had no room for the request, or could not get the KV cache that it needs. */
+    public boolean isFull() {
+        return notRun && status == UNAVAILABLE;
+    }
+
     /** Tells whether another server than {@code meant} has its address now. */
     public boolean isFromOtherThan(ServerId meant) {
         return misdirected && answeredBy.isPresent() && !answeredBy.get().equals(meant);
