Move prefill servers to decode by orders under a lease

Cause: memory of decode servers binds in every burst (3 of 6 and 6 of 10 servers decode) while prefill servers are a third busy: a prompt takes a prefill server 0.1 s, a stream holds a decode server's memory for 3 to 7 s.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/GatewayConfig.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/GatewayConfig.java
@@ -1,5 +1,6 @@
 package org.mangoridge.gateway.config;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -23,7 +24,7 @@
         this.limits = Checks.notNull(limits, "limits");
         for (Route route : routes) {
             routesByHost
-                    .computeIfAbsent(route.host(), host -> new java.util.ArrayList<>())
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
                     .add(route);
         }
         Comparator<Route> longestFirst = Comparator.comparingInt(
@@ -67,6 +68,14 @@
         return Optional.ofNullable(services.get(id));
     }
 
+    /** Returns the model service that comes first by name; empty if there is none. */
+    public Optional<ServiceId> firstModelService() {
+        return services.values().stream()
+                .filter(service -> service.engine().isPresent())
+                .map(ServiceSpec::id)
+                .min(Comparator.naturalOrder());
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerEntry.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerEntry.java
@@ -36,4 +36,9 @@
         Checks.argument(slots > 0, "slots must be positive: %d", slots);
         Checks.notNull(stage, "stage");
     }
+
+    /** Returns the entry with another stage. */
+    public ServerEntry inStage(ServerStage other) {
+        return new ServerEntry(id, service, address, zone, slots, leaving, other, bornMillis);
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -183,6 +183,9 @@
                             Field.of("took_ms", took));
             exchange.prefilled();
         } else {
+            if (reply.isFull()) {
+                context.tracks().silent(server.id(), context.now());
+            }
             release();
             if (reply.isFromOtherThan(server.id())) {
                 context.directory().drop(server.id());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -139,6 +139,11 @@
         return peers.values().stream().map(Peer::configVersion).max(Long::compare);
     }
 
+    /** Tells whether an instance comes before all that are present, by name. */
+    public boolean isFirst(InstanceId instance) {
+        return peers.keySet().stream().allMatch(peer -> instance.compareTo(peer) < 0);
+    }
+
     /** Returns the number of instances that are present. */
     public int size() {
         return peers.size();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.node;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -21,6 +22,7 @@
 import org.mangoridge.gateway.config.CallerLimits;
 import org.mangoridge.gateway.config.GatewayConfig;
 import org.mangoridge.gateway.directory.ServerDirectory;
+import org.mangoridge.gateway.directory.ServerEntry;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.RequestRouter;
@@ -33,6 +35,7 @@
 import org.mangoridge.gateway.net.FrontState;
 import org.mangoridge.gateway.net.UpstreamPool;
 import org.mangoridge.gateway.request.WireDialect;
+import org.mangoridge.gateway.stage.StageShell;
 
 /** An entry instance: binds decisions to connections, timers and the store, all on one event loop. */
 public final class GatewayNode implements FrontState {
@@ -67,8 +70,9 @@
     private final LoadExchange exchange;
     private final PeerTable peers;
     private final Follower<GatewayConfig> configFollower;
-    private final Follower<org.mangoridge.gateway.directory.ServerEntry> serverFollower;
+    private final Follower<ServerEntry> serverFollower;
     private final ServerEvents serverEvents;
+    private final StageShell stages;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Duration lastTick;
     private Duration leavingSince;
@@ -126,6 +130,8 @@
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTORS);
         this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
         GatewayFeeds sources = feeds.apply(loop, pool);
+        this.stages = StageShell.create(
+                settings.instance(), settings.holdersApart(), clock, log, loads, sources.orders(), sources.lease());
         this.serverEvents = new ServerEvents(context, router::roomMayHaveCome);
         this.serverFollower = Follower.create(sources.servers(), serverEvents, this::later, random);
         this.configFollower = Follower.create(
@@ -206,11 +212,22 @@
         }
         serverEvents.expire(now);
         tellReadiness();
+        if (leavingSince == null) {
+            stages.tick(this::modelServers, peers.isFirst(settings.instance()));
+        }
         if (leavingSince != null && !stopped) {
             leave(now);
         }
     }
 
+    /** Returns the servers of the model service; of several services the first by name is looked after. */
+    private List<ServerEntry> modelServers() {
+        return router.config()
+                .flatMap(GatewayConfig::firstModelService)
+                .map(context.directory()::usable)
+                .orElse(List.of());
+    }
+
     private void tellReadiness() {
         boolean ready = ready();
         if (ready != wasReady) {
@@ -241,6 +258,7 @@
             if (leavingSince == null) {
                 leavingSince = clock.elapsed();
                 later(TAKES_REQUESTS, router::refuseNew);
+                stages.leave();
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.busy()));
             }
         });
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param repeatRatio requests sent once more that are allowed for each request
  * @param repeatAllowance requests sent once more that all instances are allowed besides, in a window
  * @param repeatWindow the length of that window
+ * @param holdersApart how far apart orders of two holders of the lease to one server must be
  * @param grace how long the process has from the signal to end until it is killed
  */
 public record GatewaySettings(
@@ -38,6 +39,7 @@
         double repeatRatio,
         int repeatAllowance,
         Duration repeatWindow,
+        Duration holdersApart,
         Duration grace) {
 
     public GatewaySettings {
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageOrder.java
@@ -0,0 +1,16 @@
+package org.mangoridge.gateway.stage;
+
+import org.mangoridge.core.id.FencingNumber;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.directory.ServerStage;
+
+/**
+ * An order to a server to take another stage.
+ *
+ * @param server the server
+ * @param stage the stage
+ * @param holder the instance that gives the order
+ * @param fencing the fencing number of its tenure
+ */
+public record StageOrder(ServerEntry server, ServerStage stage, InstanceId holder, FencingNumber fencing) {}
