--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -72,6 +72,10 @@
             refuse(exchange, id, Refusal.notRun(RefusalReason.NOT_READY, "no configuration yet", NOT_READY_RETRY));
             return;
         }
+        if (leaving) {
+            refuse(exchange, id, Refusal.notRun(RefusalReason.DRAINING, "this instance ends", Duration.ZERO));
+            return;
+        }
         Optional<Route> route =
                 config.route(hostOf(exchange), exchange.request().path());
         if (route.isEmpty()) {
