Let a decode server read a prompt only if its streams do not pause too long

Change: a direct placement is taken only if the pause stays within 0.8 of the target, or if no prefill server is sound.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
@@ -35,6 +35,10 @@
     private static final double HAND_OVER_MILLIS = 60;
     /** The penalty for a full batch; a share of it applies in proportion, as every request slows the others. */
     private static final double CROWD_PENALTY_MILLIS = 150;
+    /** Time between two events of a stream whose server reads no prompt. */
+    private static final double EVENT_MILLIS = 60;
+    /** The part of the longest pause that reading a prompt may use. */
+    private static final double PAUSE_USED = 0.8;
     /** Prompts that one decode server reads itself at a time; more would stall the streams that it has. */
     private static final int DIRECT_AT_ONCE = 2;
 
@@ -62,6 +66,7 @@
      *
      * @param servers the service's servers that take new work
      * @param avoid servers that failed or rejected the request before
+     * @param longestPause the longest pause in the streams of a server that is on time; zero if there is no target
      * @param within how long the first token may take for the placement to be worth it
      */
     public EnginePlacement choose(
@@ -70,14 +75,18 @@
             TokenDemand demand,
             Set<ServerId> avoid,
             Duration within,
+            Duration longestPause,
             Duration now) {
         List<ServerEntry> sound = soundOf(servers, avoid, now);
+        boolean canSplit = sound.stream().anyMatch(server -> server.stage() == ServerStage.PREFILL);
         Choice best = null;
         for (ServerEntry decode : sound) {
             if (decode.stage() == ServerStage.PREFILL || !hasDecodeRoom(decode, spec, demand, now)) {
                 continue;
             }
-            best = better(best, direct(decode, demand, now));
+            if (!canSplit || !wouldStall(decode, demand, longestPause, now)) {
+                best = better(best, direct(decode, demand, now));
+            }
             for (ServerEntry prefill : sound) {
                 if (prefill.stage() == ServerStage.PREFILL && hasPrefillRoom(prefill, spec, demand)) {
                     best = better(best, split(prefill, decode, demand, now));
@@ -133,6 +142,16 @@
         return new Choice(new EnginePlacement.Direct(decode, millis(reading)), cost, reading);
     }
 
+    /** Tells whether the streams that a server has would pause for too long if it read the prompt between their tokens. */
+    private boolean wouldStall(ServerEntry decode, TokenDemand demand, Duration longestPause, Duration now) {
+        LoadShare load = loads.total(decode.id());
+        if (longestPause.isZero() || load.requests() == 0) {
+            return false;
+        }
+        double pause = pace.directMillis(decode.id(), load.prefillTokens() + demand.prompt(), now) + EVENT_MILLIS;
+        return pause > longestPause.toMillis() * PAUSE_USED;
+    }
+
     private Choice split(ServerEntry prefill, ServerEntry decode, TokenDemand demand, Duration now) {
         long tokens = loads.total(prefill.id()).prefillTokens() + demand.prompt();
         double first = pace.prefillMillis(prefill.id(), tokens, now) + HAND_OVER_MILLIS;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -119,8 +119,15 @@
         if (!within.isPositive()) {
             within = Duration.ofNanos((long) (scope.route().latencyTarget().toNanos() * LATE_SHARE));
         }
-        EnginePlacement placement =
-                context.engines().choose(servers(), spec, scope.caller().tokens(), avoid, within, now);
+        EnginePlacement placement = context.engines()
+                .choose(
+                        servers(),
+                        spec,
+                        scope.caller().tokens(),
+                        avoid,
+                        within,
+                        scope.route().gapTarget(),
+                        now);
         return placement instanceof EnginePlacement.NoRoom ? Optional.empty() : Optional.of(placement);
     }
 
