Test the request path against stand-ins, and fail requests with two lengths

Cause: a test sent a length and chunks together; the HTTP library dropped the length and served the request.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerDirectory.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerDirectory.java
@@ -63,10 +63,18 @@
         return gone;
     }
 
-    /** Takes an entry that is new or changed; returns the server if it ceased to be usable by that. */
+    /**
+     * Takes an entry that is new or changed; returns the server if it ceased to be usable by that.
+     *
+     * <p>A late word of an earlier run under the same id changes nothing.
+     */
     public Optional<ServerEntry> put(ServerEntry entry) {
+        ServerEntry before = entries.get(entry.id());
+        if (before != null && entry.bornMillis() < before.bornMillis()) {
+            return Optional.empty();
+        }
         lapsed.remove(entry.id());
-        ServerEntry before = entries.put(entry.id(), entry);
+        entries.put(entry.id(), entry);
         usable.clear();
         boolean ceased = before != null && !before.leaving() && entry.leaving();
         return ceased ? Optional.of(entry) : Optional.empty();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -50,6 +51,9 @@
         }
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         frame(headers);
+        if (request.method().equals(HttpMethod.HEAD)) {
+            body.clear();
+        }
         end(context.writeAndFlush(
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)));
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -15,7 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 
@@ -108,7 +108,7 @@
                         context.fireChannelRead(message);
                     }
                 })
-                .addLast(new HttpServerCodec(config))
+                .addLast(new StrictRequestDecoder(config), new HttpResponseEncoder())
                 .addLast(connection);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -38,7 +38,7 @@
 import org.mangoridge.gateway.stage.StageShell;
 
 /** An entry instance: binds decisions to connections, timers and the store, all on one event loop. */
-public final class GatewayNode implements FrontState {
+public final class GatewayNode implements FrontState, AutoCloseable {
 
     private static final Duration TICK = Duration.ofMillis(100);
     /** A tick that is late by more than this shows that the process stood still. */
@@ -267,6 +267,12 @@
     /** Waits until the instance has ended. */
     public void awaitEnd() throws InterruptedException {
         ended.await();
+        close();
+    }
+
+    /** Ends at once; connections are closed. */
+    @Override
+    public void close() {
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageKeeper.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageKeeper.java
@@ -54,8 +54,8 @@
 
     /** Tells whether an order is wanted, so that the lease is worth having. */
     public boolean wantsOrder(List<ServerEntry> servers, ToLongFunction<ServerEntry> load, Duration now) {
-        boolean wanted =
-                !pending.isEmpty() || inProgress || change(servers, load, now).isPresent();
+        boolean changeWanted = change(servers, load, now).isPresent();
+        boolean wanted = changeWanted || inProgress || !pending.isEmpty();
         if (!wanted) {
             wantedSince = null;
         } else if (wantedSince == null) {
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineBalancerTest.java
@@ -0,0 +1,113 @@
+package org.mangoridge.gateway.balance;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.gateway.directory.ServerStage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EngineBalancerTest {
+
+    private static EngineFixture twoZones() {
+        return new EngineFixture()
+                .server("p-a", ServerStage.PREFILL, "a")
+                .server("p-b", ServerStage.PREFILL, "b")
+                .server("d-a", ServerStage.DECODE, "a")
+                .server("d-b", ServerStage.DECODE, "b");
+    }
+
+    private static EnginePlacement.Split split(EnginePlacement placement) {
+        assertThat(placement).isInstanceOf(EnginePlacement.Split.class);
+        return (EnginePlacement.Split) placement;
+    }
+
+    @Test
+    void aCalmServiceServesWithinOneZone() {
+        EnginePlacement.Split placement = split(twoZones().place(3000));
+        assertThat(placement.prefill().zone()).isEqualTo(placement.decode().zone());
+    }
+
+    @Test
+    void noPromptIsReadWithoutRoomToGenerate() {
+        EngineFixture fixture = twoZones().load("d-a", 10, 0, 39_000).load("d-b", 10, 0, 39_000);
+        assertThat(fixture.place(3000)).isInstanceOf(EnginePlacement.NoRoom.class);
+    }
+
+    @Test
+    void roomThatAPeerTookIsNotGivenAgain() {
+        EngineFixture fixture = twoZones().load("d-b", 10, 0, 39_000);
+        fixture.loads.peerReported(
+                org.mangoridge.core.id.InstanceId.of("peer"),
+                java.util.Map.of(ServerId.of("d-a"), new LoadShare(9, 0, 36_000)),
+                fixture.now);
+        assertThat(fixture.place(3000)).isInstanceOf(EnginePlacement.NoRoom.class);
+    }
+
+    @Test
+    void aServerThatRejectedCountsAsFullForAWhile() {
+        EngineFixture fixture = twoZones();
+        fixture.loads.rejected(ServerId.of("d-a"), fixture.now);
+        assertThat(split(fixture.place(3000)).decode().id()).isEqualTo(ServerId.of("d-b"));
+        fixture.loads.rejected(ServerId.of("d-b"), fixture.now);
+        assertThat(fixture.place(3000)).isInstanceOf(EnginePlacement.NoRoom.class);
+        fixture.now = fixture.now.plus(LoadBook.FULL);
+        assertThat(fixture.place(3000)).isInstanceOf(EnginePlacement.Split.class);
+    }
+
+    @Test
+    void aBurstSpreadsOverPrefillServers() {
+        EngineFixture fixture = twoZones().load("p-a", 4, 14_000, 14_000);
+        assertThat(split(fixture.place(3000)).prefill().id()).isEqualTo(ServerId.of("p-b"));
+    }
+
+    @Test
+    void aRequestThatWouldBeLateIsNotPlaced() {
+        EngineFixture fixture = twoZones()
+                .load("p-a", 9, 30_000, 30_000)
+                .load("p-b", 9, 30_000, 30_000)
+                .load("d-a", 1, 0, 3000);
+        fixture.load("d-b", 1, 0, 3000);
+        assertThat(fixture.place(6000)).isInstanceOf(EnginePlacement.NoRoom.class);
+        assertThat(fixture.place(6000, Duration.ofSeconds(3))).isInstanceOf(EnginePlacement.Split.class);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000, true", "6000, false"})
+    void decodeServersReadOnlyPromptsThatDoNotStallTheirStreams(int prompt, boolean direct) {
+        EngineFixture fixture = twoZones()
+                .load("p-a", 9, 30_000, 30_000)
+                .load("p-b", 9, 30_000, 30_000)
+                .load("d-a", 1, 0, 3000);
+        fixture.load("d-b", 1, 0, 3000);
+        assertThat(fixture.place(prompt) instanceof EnginePlacement.Direct).isEqualTo(direct);
+    }
+
+    @Test
+    void withoutPrefillServersDecodeServersReadEveryPrompt() {
+        EngineFixture fixture =
+                new EngineFixture().server("d-a", ServerStage.DECODE, "a").load("d-a", 2, 0, 6000);
+        assertThat(fixture.place(6000)).isInstanceOf(EnginePlacement.Direct.class);
+    }
+
+    @Test
+    void aDarkPrefillServerGetsNothingUntilItIsTriedAgain() {
+        EngineFixture fixture = twoZones();
+        Duration ejected = fixture.tracks.silent(ServerId.of("p-a"), fixture.now);
+        assertThat(split(fixture.place(3000)).prefill().id()).isEqualTo(ServerId.of("p-b"));
+        fixture.now = fixture.now.plus(ejected);
+        assertThat(fixture.tracks.usable(ServerId.of("p-a"), fixture.now)).isTrue();
+    }
+
+    @Test
+    void aSlowPrefillServerGetsLess() {
+        EngineFixture fixture = twoZones();
+        for (int i = 0; i < 8; i++) {
+            fixture.pace.observed(ServerId.of("p-a"), 100, Duration.ofMillis(800), fixture.now);
+        }
+        assertThat(split(fixture.place(3000)).prefill().id()).isEqualTo(ServerId.of("p-b"));
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineFixture.java
@@ -0,0 +1,57 @@
+package org.mangoridge.gateway.balance;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.gateway.config.EngineSpec;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.gateway.request.TokenDemand;
+
+/** Engines of one service before one instance in zone {@code a}, on virtual time. */
+final class EngineFixture {
+
+    static final int KV_CAPACITY = 40_000;
+    static final Duration TARGET = Duration.ofMillis(900);
+    static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
+
+    final LoadBook loads = LoadBook.create();
+    final ServerTracks tracks = ServerTracks.create();
+    final EnginePace pace = EnginePace.create();
+    final List<ServerEntry> servers = new ArrayList<>();
+    Duration now = Duration.ofSeconds(100);
+    private final EngineBalancer balancer = EngineBalancer.create(loads, tracks, pace, AvailabilityZone.of("a"));
+
+    EngineFixture server(String id, ServerStage stage, String zone) {
+        servers.add(new ServerEntry(
+                ServerId.of(id),
+                ServiceId.of("drafts"),
+                new HostPort("127.0.0.1", 1 + servers.size()),
+                AvailabilityZone.of(zone),
+                16,
+                false,
+                stage,
+                1));
+        return this;
+    }
+
+    EngineFixture load(String id, int requests, long prefillTokens, long kvTokens) {
+        loads.add(ServerId.of(id), new LoadShare(requests, prefillTokens, kvTokens));
+        return this;
+    }
+
+    EnginePlacement place(int prompt) {
+        return place(prompt, TARGET);
+    }
+
+    EnginePlacement place(int prompt, Duration within) {
+        EngineSpec spec = new EngineSpec(16, KV_CAPACITY, 11, Duration.ofMillis(500));
+        return balancer.choose(servers, spec, new TokenDemand(prompt, 1870, 800), Set.of(), within, LONGEST_PAUSE, now);
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/PlainBalancerTest.java
@@ -0,0 +1,89 @@
+package org.mangoridge.gateway.balance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.net.HostPort;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.directory.ServerStage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PlainBalancerTest {
+
+    private static final Duration NOW = Duration.ofSeconds(50);
+    private static final int SLOTS = 6;
+
+    private final LoadBook loads = LoadBook.create();
+    private final ServerTracks tracks = ServerTracks.create();
+    private final PlainBalancer balancer =
+            PlainBalancer.create(loads, tracks, AvailabilityZone.of("a"), new SplittableRandom(7));
+    private final List<ServerEntry> servers = List.of(server("s-a", "a"), server("s-b", "b"), server("s-c", "c"));
+
+    private static ServerEntry server(String id, String zone) {
+        return new ServerEntry(
+                ServerId.of(id),
+                ServiceId.of("desk"),
+                new HostPort("127.0.0.1", 1),
+                AvailabilityZone.of(zone),
+                SLOTS,
+                false,
+                ServerStage.NONE,
+                1);
+    }
+
+    private String choice(Set<ServerId> tried) {
+        return balancer.choose(servers, tried, NOW)
+                .map(server -> server.id().value())
+                .orElse("none");
+    }
+
+    @Test
+    void theOwnZoneIsTakenWhileItIsCalm() {
+        assertThat(choice(Set.of())).isEqualTo("s-a");
+    }
+
+    @Test
+    void aBurstOverflowsToOtherZones() {
+        loads.add(ServerId.of("s-a"), new LoadShare(SLOTS, 0, 0));
+        assertThat(choice(Set.of())).isNotEqualTo("s-a");
+    }
+
+    @Test
+    void aServerThatFailsHalfOfItsRequestsGetsLess() {
+        for (int i = 0; i < 10; i++) {
+            tracks.answered(ServerId.of("s-a"), i % 2 == 0, Duration.ofMillis(20), NOW);
+        }
+        assertThat(choice(Set.of())).isNotEqualTo("s-a");
+    }
+
+    @Test
+    void aSilentServerIsLeftAloneAndThenTriedByOneRequest() {
+        ServerId silent = ServerId.of("s-a");
+        Duration rest = tracks.silent(silent, NOW);
+        assertThat(choice(Set.of())).isNotEqualTo("s-a");
+        assertThat(tracks.usable(silent, NOW.plus(rest))).isTrue();
+        tracks.sent(silent);
+        assertThat(tracks.usable(silent, NOW.plus(rest))).isFalse();
+    }
+
+    /** A fault of the whole service must not close it. */
+    @Test
+    void ifAllAreSilentAllAreUsed() {
+        servers.forEach(server -> tracks.silent(server.id(), NOW));
+        assertThat(choice(Set.of())).isNotEqualTo("none");
+    }
+
+    @Test
+    void aRequestIsNotSentToTheSameServerTwice() {
+        assertThat(choice(Set.of(ServerId.of("s-a"), ServerId.of("s-b")))).isEqualTo("s-c");
+        assertThat(choice(Set.of(ServerId.of("s-a"), ServerId.of("s-b"), ServerId.of("s-c"))))
+                .isEqualTo("none");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/WaitingLineTest.java
@@ -0,0 +1,65 @@
+package org.mangoridge.gateway.balance;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.gateway.balance.WaitingLine.Waiter;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class WaitingLineTest {
+
+    private final WaitingLine<String> line = WaitingLine.create(4);
+
+    private static Waiter<String> waiter(String name, int priority, int arrived) {
+        return new Waiter<>(name, priority, millis(arrived), millis(arrived + 900), millis(arrived + 2500));
+    }
+
+    private static Duration millis(int value) {
+        return Duration.ofMillis(value);
+    }
+
+    private List<String> order(int now) {
+        return line.order(millis(now)).stream().map(Waiter::item).toList();
+    }
+
+    /** After a burst, those that can still be on time go before those that will be late anyhow. */
+    @Test
+    void lateRequestsLetThoseOnTimePass() {
+        line.offer(waiter("late", 1, 0));
+        line.offer(waiter("on time", 1, 800));
+        assertThat(order(1000)).containsExactly("on time", "late").inOrder();
+    }
+
+    @Test
+    void theUrgentRankGoesFirstAndTheEarliestWithinARank() {
+        line.offer(waiter("second", 1, 10));
+        line.offer(waiter("first", 1, 0));
+        line.offer(waiter("urgent", 0, 20));
+        assertThat(order(30)).containsExactly("urgent", "first", "second").inOrder();
+    }
+
+    @Test
+    void theLongestWaitGoesFirstAmongLateOnes() {
+        line.offer(waiter("newer", 0, 100));
+        line.offer(waiter("older", 1, 0));
+        assertThat(order(2000)).containsExactly("older", "newer").inOrder();
+    }
+
+    @Test
+    void aFullLineTakesNobody() {
+        for (int i = 0; i < 4; i++) {
+            assertThat(line.offer(waiter("w" + i, 1, i))).isTrue();
+        }
+        assertThat(line.offer(waiter("more", 0, 9))).isFalse();
+    }
+
+    @Test
+    void waitingEndsWhenItsCallerWouldBeGone() {
+        line.offer(waiter("old", 1, 0));
+        line.offer(waiter("new", 1, 100));
+        assertThat(line.expire(millis(2500))).hasSize(1);
+        assertThat(order(2500)).containsExactly("new");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/directory/ServerDirectoryTest.java
@@ -0,0 +1,89 @@
+package org.mangoridge.gateway.directory;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.core.net.HostPort;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ServerDirectoryTest {
+
+    private static final ServiceId SERVICE = ServiceId.of("desk");
+    private static final Duration START = Duration.ofSeconds(100);
+    private static final Duration CALM = START.plus(ServerDirectory.LAPSE_GRACE).plusSeconds(1);
+
+    private final ServerDirectory directory = ServerDirectory.create();
+
+    static ServerEntry entry(String id, boolean leaving, long born) {
+        return new ServerEntry(
+                ServerId.of(id),
+                SERVICE,
+                new HostPort("127.0.0.1", 80),
+                AvailabilityZone.of("a"),
+                6,
+                leaving,
+                ServerStage.NONE,
+                born);
+    }
+
+    @BeforeEach
+    void storeAnswers() {
+        directory.storeReachable(true, START);
+        directory.put(entry("s-1", false, 1));
+        directory.put(entry("s-2", false, 1));
+    }
+
+    private List<String> usable() {
+        return directory.usable(SERVICE).stream()
+                .map(server -> server.id().value())
+                .toList();
+    }
+
+    @Test
+    void aServerThatIsRemovedInCalmTimesIsGoneAtOnce() {
+        assertThat(directory.remove(ServerId.of("s-1"), CALM)).isPresent();
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    @Test
+    void aServerThatDrainsGetsNoNewWork() {
+        assertThat(directory.put(entry("s-1", true, 1))).isPresent();
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    /** Entries lapse while the store is away; live servers are listed again within two seconds. */
+    @Test
+    void anEntryThatLapsedInAnOutageIsKeptUntilItsServerHadTimeToReturn() {
+        directory.storeReachable(false, CALM);
+        Duration back = CALM.plusSeconds(5);
+        directory.storeReachable(true, back);
+        assertThat(directory.replaceAll(List.of(entry("s-2", false, 1)), back)).isEmpty();
+        assertThat(usable()).containsExactly("s-1", "s-2");
+        assertThat(directory.expire(back.plus(ServerDirectory.LAPSE_GRACE))).hasSize(1);
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    @Test
+    void aServerThatReturnsInTimeStays() {
+        directory.storeReachable(false, CALM);
+        Duration back = CALM.plusSeconds(5);
+        directory.storeReachable(true, back);
+        directory.replaceAll(List.of(), back);
+        directory.put(entry("s-1", false, 1));
+        directory.expire(back.plus(ServerDirectory.LAPSE_GRACE));
+        assertThat(usable()).containsExactly("s-1");
+    }
+
+    @Test
+    void aLateWordOfAnEarlierRunChangesNothing() {
+        directory.put(entry("s-1", true, 5));
+        directory.put(entry("s-1", false, 4));
+        assertThat(usable()).containsExactly("s-2");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/follow/FollowerTest.java
@@ -0,0 +1,129 @@
+package org.mangoridge.gateway.follow;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.core.Result;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FollowerTest {
+
+    private final FakeFeed feed = new FakeFeed();
+    private final Heard heard = new Heard();
+    private final Deque<Runnable> timers = new ArrayDeque<>();
+    private final Follower<String> follower =
+            Follower.create(feed, heard, (delay, task) -> timers.add(task), new SplittableRandom(3));
+
+    private static final class FakeFeed implements ObjectFeed<String> {
+        final List<String> calls = new ArrayList<>();
+        Consumer<Result<FeedPage<String>, FeedFailure>> list;
+        Consumer<Result<FeedChanges<String>, FeedFailure>> watch;
+
+        @Override
+        public void list(Optional<String> after, Consumer<Result<FeedPage<String>, FeedFailure>> answer) {
+            calls.add("list " + after.orElse(""));
+            list = answer;
+        }
+
+        @Override
+        public void watch(long revision, Duration wait, Consumer<Result<FeedChanges<String>, FeedFailure>> answer) {
+            calls.add("watch " + revision);
+            watch = answer;
+        }
+    }
+
+    private static final class Heard implements FeedListener<String> {
+        final List<String> items = new ArrayList<>();
+        boolean reachable;
+
+        @Override
+        public void replaced(List<String> all) {
+            items.clear();
+            items.addAll(all);
+        }
+
+        @Override
+        public void put(String item) {
+            items.add(item);
+        }
+
+        @Override
+        public void removed(String name) {
+            items.remove(name);
+        }
+
+        @Override
+        public void reachable(boolean now, String detail) {
+            reachable = now;
+        }
+    }
+
+    private static <V> Result<V, FeedFailure> failure(FeedFailure.Kind kind) {
+        return Result.err(new FeedFailure(kind, "test"));
+    }
+
+    private void listed(long revision, String... items) {
+        follower.restart();
+        feed.list.accept(Result.ok(new FeedPage<>(List.of(items), Optional.empty(), revision)));
+    }
+
+    @Test
+    void pagesAreJoinedAndWatchedFromTheFirstPagesRevision() {
+        follower.restart();
+        feed.list.accept(Result.ok(new FeedPage<>(List.of("a"), Optional.of("a"), 10)));
+        assertThat(heard.items).isEmpty();
+        feed.list.accept(Result.ok(new FeedPage<>(List.of("b"), Optional.empty(), 12)));
+        assertThat(heard.items).containsExactly("a", "b");
+        assertThat(feed.calls).containsExactly("list ", "list a", "watch 10").inOrder();
+    }
+
+    @Test
+    void changesAreAppliedAndTheWatchGoesOn() {
+        listed(5, "a");
+        feed.watch.accept(Result.ok(new FeedChanges<>(
+                List.of(new FeedChanges.Change.Put<>("b"), new FeedChanges.Change.Removed<>("a")), 7)));
+        assertThat(heard.items).containsExactly("b");
+        assertThat(feed.calls.get(2)).isEqualTo("watch 7");
+    }
+
+    @Test
+    void lostHistoryLeadsToANewList() {
+        listed(5, "a");
+        feed.watch.accept(failure(FeedFailure.Kind.HISTORY_GONE));
+        assertThat(feed.calls.get(2)).isEqualTo("list ");
+    }
+
+    @Test
+    void aFailedWatchIsTriedAgainAfterAPauseFromWhereItWas() {
+        listed(5, "a");
+        feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+        assertThat(heard.reachable).isFalse();
+        assertThat(heard.items).containsExactly("a");
+        timers.poll().run();
+        assertThat(feed.calls.get(2)).isEqualTo("watch 5");
+    }
+
+    @Test
+    void aStoreThatAsksForFewerCallsIsNotTakenAsAway() {
+        listed(5, "a");
+        feed.watch.accept(failure(FeedFailure.Kind.TOO_MANY_CALLS));
+        assertThat(heard.reachable).isTrue();
+    }
+
+    @Test
+    void anAnswerToACallBeforeARestartIsNotHeard() {
+        listed(5, "a");
+        Consumer<Result<FeedChanges<String>, FeedFailure>> earlier = feed.watch;
+        follower.restart();
+        earlier.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Put<>("late")), 9)));
+        assertThat(heard.items).containsExactly("a");
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
@@ -0,0 +1,67 @@
+package org.mangoridge.gateway.gossip;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.net.HostPort;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PeerTableTest {
+
+    private static final HostPort SELF = new HostPort("10.0.0.1", 7000);
+    private static final HostPort SEED = new HostPort("10.0.0.2", 7000);
+    private static final HostPort OTHER = new HostPort("10.0.0.3", 7000);
+
+    private final PeerTable table = PeerTable.create(SELF, List.of(SELF, SEED), new SplittableRandom(1));
+
+    private static LoadReport report(String sender, long started, long sequence, boolean leaving) {
+        return new LoadReport(InstanceId.of(sender), started, sequence, Map.of(), List.of(OTHER, SELF), 3, leaving);
+    }
+
+    private PeerTable.Outcome received(LoadReport report, long second) {
+        return table.received(report, SEED, Duration.ofSeconds(second));
+    }
+
+    @Test
+    void seedsAreTriedUntilTheyAnswerAndTellOfOthers() {
+        assertThat(table.absent()).containsExactly(SEED);
+        assertThat(received(report("entry-2", 1, 1, false), 1)).isEqualTo(PeerTable.Outcome.JOINED);
+        assertThat(table.present()).containsExactly(SEED);
+        assertThat(table.absent()).containsExactly(OTHER);
+    }
+
+    @Test
+    void lateDatagramsAndEarlierRunsAreDropped() {
+        received(report("entry-2", 5, 2, false), 1);
+        assertThat(received(report("entry-2", 5, 1, false), 1)).isEqualTo(PeerTable.Outcome.STALE);
+        assertThat(received(report("entry-2", 4, 9, false), 1)).isEqualTo(PeerTable.Outcome.STALE);
+        assertThat(received(report("entry-2", 6, 1, false), 1)).isEqualTo(PeerTable.Outcome.RENEWED);
+    }
+
+    @Test
+    void aSilentPeerIsAbsentButStillTried() {
+        received(report("entry-2", 1, 1, false), 1);
+        assertThat(table.expire(Duration.ofSeconds(5))).containsExactly(InstanceId.of("entry-2"));
+        assertThat(table.present()).isEmpty();
+        assertThat(table.absent()).contains(SEED);
+    }
+
+    @Test
+    void aPeerThatLeavesIsForgottenAtOnce() {
+        received(report("entry-2", 1, 1, false), 1);
+        assertThat(received(report("entry-2", 1, 2, true), 2)).isEqualTo(PeerTable.Outcome.LEFT);
+        assertThat(table.size()).isEqualTo(0);
+    }
+
+    @Test
+    void theFirstByNameGivesOrders() {
+        received(report("entry-2", 1, 1, false), 1);
+        assertThat(table.isFirst(InstanceId.of("entry-1"))).isTrue();
+        assertThat(table.isFirst(InstanceId.of("entry-3"))).isFalse();
+    }
+}
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageKeeperTest.java
@@ -0,0 +1,76 @@
+package org.mangoridge.gateway.stage;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.FencingNumber;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.orders.lease.Tenure;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class StageKeeperTest {
+
+    private static final Duration TURN_REST = Duration.ofSeconds(4);
+    private static final Duration LONG = Duration.ofHours(1);
+
+    private final StageKeeper keeper = StageKeeper.create(InstanceId.of("entry-1"), TURN_REST);
+    private List<ServerEntry> servers = StagePlanTest.servers(3, 3);
+
+    private Optional<StageOrder> next(long fencing, Duration now) {
+        keeper.wantsOrder(servers, server -> 0, now);
+        Tenure tenure = new Tenure(FencingNumber.of(fencing), Duration.ZERO, LONG, Duration.ZERO);
+        return keeper.next(servers, server -> 0, Optional.of(tenure), now);
+    }
+
+    private static Duration seconds(double value) {
+        return Duration.ofMillis((long) (value * 1000));
+    }
+
+    @Test
+    void noOrderWithoutALease() {
+        keeper.wantsOrder(servers, server -> 0, Duration.ZERO);
+        assertThat(keeper.next(servers, server -> 0, Optional.empty(), LONG)).isEmpty();
+    }
+
+    @Test
+    void anOrderIsGivenOnceTheWishHasLasted() {
+        assertThat(next(1, Duration.ZERO)).isEmpty();
+        assertThat(next(1, seconds(3))).isPresent();
+        assertThat(next(1, seconds(3.1))).isEmpty();
+    }
+
+    /** Orders of two holders must not mix at one server. */
+    @Test
+    void aLaterHolderWaitsBeforeItsFirstOrder() {
+        assertThat(next(2, Duration.ZERO)).isEmpty();
+        assertThat(next(2, seconds(3))).isEmpty();
+        assertThat(next(2, TURN_REST)).isPresent();
+    }
+
+    @Test
+    void anOrderWhoseAnswerIsLostIsNotGivenAgainWhileItMayArrive() {
+        next(1, Duration.ZERO);
+        StageOrder order = next(1, seconds(3)).get();
+        keeper.settled(order, StageOrderOutcome.UNKNOWN, seconds(4));
+        assertThat(next(1, seconds(10))).isEmpty();
+        assertThat(next(1, seconds(18))).isPresent();
+    }
+
+    @Test
+    void anOrderIsDoneWhenTheServerShowsTheStage() {
+        next(1, Duration.ZERO);
+        StageOrder order = next(1, seconds(3)).get();
+        keeper.settled(order, StageOrderOutcome.ACCEPTED, seconds(4));
+        List<ServerEntry> changed = new ArrayList<>(servers);
+        changed.replaceAll(
+                server -> server.id().equals(order.server().id()) ? server.inStage(ServerStage.DECODE) : server);
+        servers = changed;
+        assertThat(keeper.wantsOrder(servers, server -> 0, seconds(8))).isFalse();
+    }
+}
