Hold requests while an instance starts, serve short ones until it ends, probe silent connections

A watch on a connection that fell silent was noticed after 17 s only. Change: a request waits up to 0.4 s for the first lists; an instance that ends refuses streams after 2.9 s and the rest 1.8 s before it is killed; TCP probes close a silent connection in 3 s; reports are encoded once for all peers.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerDirectory.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerDirectory.java
@@ -30,6 +30,7 @@
     private final Map<ServiceId, List<ServerEntry>> usable = new HashMap<>();
     private Duration unsettledUntil = Duration.ZERO;
     private boolean storeReachable;
+    private boolean listWasRead;
 
     private ServerDirectory() {}
 
@@ -49,6 +50,7 @@
 
     /** Takes the whole list; returns the servers that are no longer usable. */
     public List<ServerEntry> replaceAll(Collection<ServerEntry> listed, Duration now) {
+        listWasRead = true;
         Set<ServerId> present = new HashSet<>();
         List<ServerEntry> gone = new ArrayList<>();
         for (ServerEntry entry : listed) {
@@ -63,6 +65,11 @@
         return gone;
     }
 
+    /** Tells whether the list of servers was read at all. */
+    public boolean isListed() {
+        return listWasRead;
+    }
+
     /**
      * Takes an entry that is new or changed; returns the server if it ceased to be usable by that.
      *
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -1,7 +1,10 @@
 package org.mangoridge.gateway.exchange;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.mangoridge.core.Result;
@@ -21,12 +24,23 @@
 /** Finds the route of a request and has it served under the configuration of that moment; used on the event loop. */
 public final class RequestRouter implements RequestHandler {
 
+    /** How long a request waits for an instance that starts; the lists take some 50 ms after it listens. */
+    private static final Duration HOLD = Duration.ofMillis(400);
+
+    private static final int MAX_HELD = 128;
     private static final Duration NOT_READY_RETRY = Duration.ofMillis(800);
 
     private final GatewayContext context;
     private final ModelQueue queue;
     private GatewayConfig config;
-    private boolean leaving;
+    private Takes takes = Takes.EVERYTHING;
+    private final Set<CallerExchange> held = new LinkedHashSet<>();
+
+    private enum Takes {
+        EVERYTHING,
+        SHORT_ONLY,
+        NOTHING
+    }
 
     private RequestRouter(GatewayContext context) {
         this.context = context;
@@ -44,6 +58,7 @@
             return false;
         }
         config = newer;
+        serveHeld();
         return true;
     }
 
@@ -52,41 +67,91 @@
         return Optional.ofNullable(config);
     }
 
-    /** From now on tells callers to come back, to another instance: this one ends before it could serve them. */
-    public void refuseNew() {
-        leaving = true;
+    /** From now on refuses streams: this instance ends before they would. */
+    public void refuseStreams() {
+        takes = Takes.SHORT_ONLY;
+    }
+
+    /** From now on refuses every request: this instance ends before it would be served. */
+    public void refuseAll() {
+        takes = Takes.NOTHING;
     }
 
     /** Looks again for room for requests that wait. */
     public void roomMayHaveCome() {
+        serveHeld();
         queue.roomMayHaveCome();
     }
 
     @Override
     public void handle(CallerExchange exchange) {
         context.metrics().count("requests");
-        Result<CallerRequest, String> read =
-                context.dialect().readRequest(exchange.request().headers());
-        Optional<RequestId> id = read.isOk() ? Optional.of(read.value().id()) : Optional.empty();
-        if (config == null) {
-            refuse(exchange, id, Refusal.notRun(RefusalReason.NOT_READY, "no configuration yet", NOT_READY_RETRY));
-            return;
+        if (started()) {
+            route(exchange);
+        } else if (held.size() < MAX_HELD) {
+            hold(exchange);
+        } else {
+            refuseNotReady(exchange);
         }
-        if (leaving) {
-            refuse(exchange, id, Refusal.notRun(RefusalReason.DRAINING, "this instance ends", Duration.ZERO));
-            return;
+    }
+
+    private boolean started() {
+        return config != null && context.directory().isListed();
+    }
+
+    /** Keeps a request that came while the instance starts; the lists that it waits for take some milliseconds. */
+    private void hold(CallerExchange exchange) {
+        held.add(exchange);
+        exchange.onGone(() -> held.remove(exchange));
+        context.after(HOLD, () -> {
+            if (held.remove(exchange)) {
+                refuseNotReady(exchange);
+            }
+        });
+    }
+
+    private void serveHeld() {
+        if (!held.isEmpty() && started()) {
+            List<CallerExchange> waiting = List.copyOf(held);
+            held.clear();
+            waiting.forEach(this::route);
         }
+    }
+
+    private void refuseNotReady(CallerExchange exchange) {
+        refuse(
+                exchange,
+                read(exchange),
+                Refusal.notRun(RefusalReason.NOT_READY, "no configuration yet", NOT_READY_RETRY));
+    }
+
+    private Result<CallerRequest, String> read(CallerExchange exchange) {
+        return context.dialect().readRequest(exchange.request().headers());
+    }
+
+    private void route(CallerExchange exchange) {
+        Result<CallerRequest, String> read = read(exchange);
         Optional<Route> route =
                 config.route(hostOf(exchange), exchange.request().path());
         if (route.isEmpty()) {
-            refuse(exchange, id, Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "no route has this host and path"));
+            refuse(exchange, read, Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "no route has this host and path"));
         } else if (!read.isOk()) {
-            refuse(exchange, id, Refusal.notRun(RefusalReason.MALFORMED, read.error()));
+            refuse(exchange, read, Refusal.notRun(RefusalReason.MALFORMED, read.error()));
+        } else if (!takes(route.get())) {
+            refuse(exchange, read, Refusal.notRun(RefusalReason.DRAINING, "this instance ends", Duration.ZERO));
         } else {
             serve(exchange, route.get(), read.value());
         }
     }
 
+    private boolean takes(Route route) {
+        return switch (takes) {
+            case EVERYTHING -> true;
+            case SHORT_ONLY -> !route.streaming();
+            case NOTHING -> false;
+        };
+    }
+
     private static String hostOf(CallerExchange exchange) {
         String host = exchange.request().headers().get(HttpHeaderNames.HOST, "");
         int colon = host.lastIndexOf(':');
@@ -105,7 +170,8 @@
         }
     }
 
-    private void refuse(CallerExchange exchange, Optional<RequestId> id, Refusal refusal) {
+    private void refuse(CallerExchange exchange, Result<CallerRequest, String> read, Refusal refusal) {
+        Optional<RequestId> id = read.isOk() ? Optional.of(read.value().id()) : Optional.empty();
         context.metrics().refused(refusal.reason());
         int status =
                 new OwnAnswers(context.dialect()).refuse(exchange, id, refusal).code();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.gossip;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +42,7 @@
     public static final Duration CALM_INTERVAL = Duration.ofMillis(700);
 
     private static final Duration TICK = Duration.ofMillis(350);
-    private static final Duration CALM_PER_PEER = Duration.ofMillis(18);
+    private static final Duration CALM_PER_PEER = Duration.ofMillis(25);
     /** Room that is taken in the same turn of the event loop shares a datagram. */
     private static final Duration URGENT_REST = Duration.ofMillis(1);
 
@@ -146,7 +147,7 @@
     /** Tells the peers that this instance ends. */
     public void leave() {
         if (channel != null) {
-            table.present().forEach(address -> send(address, report(Map.of(), List.of(), true)));
+            send(table.present(), report(Map.of(), List.of(), true));
         }
     }
 
@@ -169,8 +170,8 @@
             lastSent = now;
             lastLoads = loads.ownLoads();
             LoadReport report = report(lastLoads, table.some(), false);
-            table.present().forEach(address -> send(address, report));
-            table.absent().forEach(address -> send(address, report));
+            send(table.present(), report);
+            send(table.absent(), report);
         }
     }
 
@@ -184,16 +185,19 @@
         lastSent = clock.elapsed();
         lastLoads = loads.ownLoads();
         LoadReport report = report(lastLoads, List.of(), false);
-        table.present().forEach(address -> send(address, report));
+        send(table.present(), report);
     }
 
     private LoadReport report(Map<ServerId, LoadShare> own, List<HostPort> told, boolean leaving) {
         return new LoadReport(self, startedMillis, ++sequence, own, told, configVersion.getAsLong(), leaving);
     }
 
-    private void send(HostPort address, LoadReport report) {
+    private void send(Collection<HostPort> addresses, LoadReport report) {
         byte[] bytes = LoadCodec.encode(report);
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address.socketAddress()));
+        for (HostPort address : addresses) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address.socketAddress()));
+        }
+        channel.flush();
     }
 
     private void received(DatagramPacket packet) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -20,7 +20,7 @@
 public final class PeerTable {
 
     /** A peer that is silent for this long is not counted as present. */
-    public static final Duration PRESENT = Duration.ofSeconds(3);
+    public static final Duration PRESENT = Duration.ofSeconds(4);
 
     private static final Duration FORGET = Duration.ofSeconds(60);
     private static final int MAX_ADDRESSES = 1024;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -14,9 +14,11 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import jdk.net.ExtendedSocketOptions;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.core.verdict.AttemptProgress;
@@ -31,6 +33,11 @@
     /** Rest after a call, in which bytes that belong to no request show themselves. */
     private static final Duration SETTLE = Duration.ofMillis(3);
 
+    /** Seconds between probes of a connection on which nothing comes; a watch of the store waits for many seconds. */
+    private static final int PROBE_SECONDS = 1;
+    /** Probes without an answer after which a connection that fell silent is closed. */
+    private static final int PROBES = 2;
+
     private static final int MAX_HEAD_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
     private static final int MAX_IDLE_PER_ADDRESS = 16;
@@ -151,6 +158,10 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         request.connectTimeout().toMillis())
                 .handler(new ChannelInitializer<Channel>() {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -51,8 +51,10 @@
     private static final double FRONT_DESCRIPTORS = 0.6;
     /** How long the balancer may take to stop sending new connections: two checks and their way. */
     private static final Duration BALANCER_DELAY = Duration.ofMillis(3200);
-    /** How long after the signal to end requests are still taken; callers know by then, and a stream takes seconds. */
-    private static final Duration TAKES_REQUESTS = Duration.ofMillis(2900);
+    /** How long after the signal to end streams are still taken; a stream takes seconds. */
+    private static final Duration TAKES_STREAMS = Duration.ofMillis(2900);
+    /** How long before the process is killed no request is taken any more. */
+    private static final Duration LAST_REQUESTS = Duration.ofMillis(1800);
     /** What is left of the grace time when the process ends by itself. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
 
@@ -190,8 +192,8 @@
         loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Room that a peer gave back is found at the next look of the requests that wait. */
     private void peersReported() {
-        router.roomMayHaveCome();
         long own = router.config().map(GatewayConfig::version).orElse(-1L);
         long newest = peers.newestConfig();
         if (newest > own && newest > askedFor) {
@@ -261,7 +263,8 @@
         loop.execute(() -> {
             if (leavingSince == null) {
                 leavingSince = clock.elapsed();
-                later(TAKES_REQUESTS, router::refuseNew);
+                later(TAKES_STREAMS, router::refuseStreams);
+                later(settings.grace().minus(LAST_REQUESTS), router::refuseAll);
                 stages.leave();
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.busy()));
             }
