Tell a request's story from logs: mangoridge explain

Cause: an on-call engineer had to join lines of several instances by hand. Change: the command explain; optional numbers are logged as numbers.

--- a/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
+++ b/mangoridge-cli/src/main/java/org/mangoridge/cli/Main.java
@@ -22,6 +22,7 @@
 import org.mangoridge.cli.command.DiffCommand;
 import org.mangoridge.cli.command.DrainCommand;
 import org.mangoridge.cli.command.ExitCode;
+import org.mangoridge.cli.command.ExplainCommand;
 import org.mangoridge.cli.command.Invocation;
 import org.mangoridge.cli.command.KeyCommand;
 import org.mangoridge.cli.command.NodeCommand;
@@ -55,6 +56,7 @@
         return new Main(List.of(
                 new ServeCommand(),
                 new NodeCommand(),
+                new ExplainCommand(),
                 new CheckCommand(),
                 new DiffCommand(),
                 new ApplyCommand(),
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/log/JsonEventLog.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/log/JsonEventLog.java
@@ -5,6 +5,7 @@
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -124,6 +125,8 @@
             case Integer number -> json.writeNumberField(field.name(), number);
             case Long number -> json.writeNumberField(field.name(), number);
             case Double number -> json.writeNumberField(field.name(), Math.round(number * 1000) / 1000.0);
+            case OptionalLong number when number.isPresent() -> json.writeNumberField(field.name(), number.getAsLong());
+            case OptionalLong none -> json.writeNullField(field.name());
             case Boolean flag -> json.writeBooleanField(field.name(), flag);
             default -> json.writeStringField(field.name(), String.valueOf(field.value()));
         }
