Refuse what comes to an ending instance before it ends

Change: EndPlan, pure: first refuse, stop listening and close idle connections; end at a later look if nothing is in progress.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -49,15 +49,10 @@
     private static final int BODY_MEMORY_PART = 12;
     /** The part of the descriptors that connections of callers may take. */
     private static final double FRONT_DESCRIPTORS = 0.6;
-    /** How long the balancer may take to stop sending new connections: two checks and their way. */
-    private static final Duration BALANCER_DELAY = Duration.ofMillis(3200);
     /** How long after the signal to end streams are still taken; a stream takes seconds. */
     private static final Duration TAKES_STREAMS = Duration.ofMillis(2900);
     /** How long before the process is killed no request is taken any more. */
     private static final Duration LAST_REQUESTS = Duration.ofMillis(1800);
-    /** What is left of the grace time when the process ends by itself. */
-    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
-
     /** Entries of servers gather for this long: a third of the shortest time in which a leaving server is known. */
     private static final Duration SERVER_REST = Duration.ofMillis(600);
     /** Configurations come rarely, and must be in force within two seconds. */
@@ -82,6 +77,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private Duration lastTick;
     private Duration leavingSince;
+    private final EndPlan endPlan;
     private long askedFor = -1;
     private boolean wasReady;
     private boolean stopped;
@@ -96,6 +92,7 @@
         this.settings = settings;
         this.clock = clock;
         this.log = log;
+        this.endPlan = EndPlan.of(settings.grace());
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
         UpstreamPool pool = UpstreamPool.create(loop, clock);
@@ -244,17 +241,25 @@
 
     private void leave(Duration now) {
         Duration since = now.minus(leavingSince);
-        boolean drained = since.compareTo(BALANCER_DELAY) > 0 && front.busy() == 0;
-        boolean outOfTime = since.compareTo(settings.grace().minus(GRACE_MARGIN)) > 0;
-        if (drained || outOfTime) {
-            log.log(
-                    LogEvent.INSTANCE_STOPPED,
-                    Field.of("after_ms", since),
-                    Field.of("requests_cut", front.busy()),
-                    Field.of("connections", front.connectionCount()));
-            exchange.leave();
-            stopped = true;
-            later(Duration.ofMillis(50), ended::countDown);
+        switch (endPlan.next(since, front.busy())) {
+            case REFUSE -> {
+                router.refuseAll();
+                front.stopListening();
+                front.closeIdle();
+            }
+            case END -> {
+                stopped = true;
+                log.log(
+                        LogEvent.INSTANCE_STOPPED,
+                        Field.of("after_ms", since),
+                        Field.of("requests_cut", front.busy()),
+                        Field.of("connections", front.connectionCount()));
+                exchange.leave();
+                ended.countDown();
+            }
+            default -> {
+                // Requests are in progress, or the balancer still sends callers.
+            }
         }
     }
 
