Pass load reports on through one relay a zone in a large fleet

Cause: every instance of 65 wrote to every other at each change: 144 changes a second at 64 datagrams, 12,000 a second with the calm reports.

Ruled out: longer rests (an instance would promise room that is taken), one relay for all zones (3 Mbit/s of datagrams at one machine).

Change: above 16 instances each writes to the strongest of its zone, which passes reports on in batches; relays write to each other. A relay that sends nothing back is written to together with the next one. Timers of an instance are one tick now.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -1,49 +1,93 @@
 package org.mangoridge.gateway.gossip;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
+import org.apache.thrift.TBase;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.mangoridge.core.Result;
+import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.gateway.balance.LoadShare;
+import org.mangoridge.gateway.thrift.LoadBatch;
 import org.mangoridge.gateway.thrift.LoadMessage;
 import org.mangoridge.gateway.thrift.ServerShare;
 
-/** Translates load reports from and to datagrams. */
+/** Translates load reports, and the datagrams that carry several of them, from and to bytes. */
 final class LoadCodec {
 
+    /** Addresses are few and come again with each report. */
+    private static final int MAX_INTERNED = 4096;
+
+    private final Map<String, HostPort> addresses = new HashMap<>();
+
+    /** What a datagram holds: encoded reports, and whether the receiver is to pass them on. */
+    record Batch(List<byte[]> reports, boolean passOn) {}
+
     private LoadCodec() {}
 
+    static LoadCodec create() {
+        return new LoadCodec();
+    }
+
     static byte[] encode(LoadReport report) {
         List<ServerShare> shares = new ArrayList<>();
         report.loads()
                 .forEach((server, load) -> shares.add(
                         new ServerShare(server.value(), load.requests(), load.prefillTokens(), load.kvTokens())));
         List<String> peers = report.peers().stream().map(HostPort::toString).toList();
-        LoadMessage message = new LoadMessage(
-                report.sender().value(),
-                report.startedMillis(),
+        LoadReport.Origin origin = report.origin();
+        return write(new LoadMessage(
+                origin.instance().value(),
+                origin.startedMillis(),
                 report.sequence(),
                 shares,
                 peers,
                 report.configVersion(),
-                report.leaving());
+                report.leaving(),
+                origin.address().toString(),
+                origin.zone().value(),
+                origin.milliCores(),
+                report.relaying()));
+    }
+
+    static byte[] encodeBatch(List<byte[]> reports, boolean passOn) {
+        return write(new LoadBatch(reports.stream().map(ByteBuffer::wrap).toList(), passOn));
+    }
+
+    private static byte[] write(TBase<?, ?> message) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
         } catch (TException e) {
-            throw new IllegalStateException("a report that was built can't be written", e);
+            throw new IllegalStateException("a message that was built can't be written", e);
+        }
+    }
+
+    static Result<Batch, String> decodeBatch(byte[] bytes) {
+        LoadBatch batch = new LoadBatch();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
+        } catch (TException e) {
+            return Result.err(String.valueOf(e.getMessage()));
+        }
+        List<byte[]> reports = new ArrayList<>();
+        for (ByteBuffer report : batch.getReports()) {
+            byte[] copy = new byte[report.remaining()];
+            report.duplicate().get(copy);
+            reports.add(copy);
         }
+        return Result.ok(new Batch(reports, batch.isPassOn()));
     }
 
-    static Result<LoadReport, String> decode(byte[] bytes) {
+    Result<LoadReport, String> decode(byte[] bytes) {
         LoadMessage message = new LoadMessage();
         try {
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
@@ -53,16 +97,34 @@
                         ServerId.of(share.getServer()),
                         new LoadShare(share.getRequests(), share.getPrefillTokens(), share.getKvTokens()));
             }
-            return Result.ok(new LoadReport(
+            LoadReport.Origin origin = new LoadReport.Origin(
                     InstanceId.of(message.getSender()),
                     message.getStartedMillis(),
+                    address(message.getAddress()),
+                    AvailabilityZone.of(message.getZone()),
+                    message.getMilliCores());
+            return Result.ok(new LoadReport(
+                    origin,
                     message.getSequence(),
                     loads,
-                    message.getPeers().stream().map(HostPort::parse).toList(),
+                    message.getPeers().stream().map(this::address).toList(),
                     message.getConfigVersion(),
+                    message.isRelaying(),
                     message.isLeaving()));
         } catch (TException | IllegalArgumentException e) {
             return Result.err(String.valueOf(e.getMessage()));
         }
     }
+
+    private HostPort address(String text) {
+        HostPort known = addresses.get(text);
+        if (known == null) {
+            if (addresses.size() >= MAX_INTERNED) {
+                addresses.clear();
+            }
+            known = HostPort.parse(text);
+            addresses.put(text, known);
+        }
+        return known;
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
@@ -11,25 +12,37 @@
 /**
  * What one instance says of itself.
  *
- * @param sender the instance
- * @param startedMillis when this run of it started, as Unix milliseconds
+ * @param origin the instance
  * @param sequence numbers the reports of a run
  * @param loads the load that it puts on servers
  * @param peers addresses of instances that it heard of lately
  * @param configVersion the version of its configuration, -1 if it has none
+ * @param relaying whether it passes the reports of others on
  * @param leaving whether it ends
  */
 public record LoadReport(
-        InstanceId sender,
-        long startedMillis,
+        Origin origin,
         long sequence,
         Map<ServerId, LoadShare> loads,
         List<HostPort> peers,
         long configVersion,
+        boolean relaying,
         boolean leaving) {
 
     public LoadReport {
         loads = Map.copyOf(loads);
         peers = List.copyOf(peers);
     }
+
+    /**
+     * One run of an instance.
+     *
+     * @param instance its id
+     * @param startedMillis when the run started, as Unix milliseconds
+     * @param address where it takes reports
+     * @param zone where it runs
+     * @param milliCores the processor time that it may use, in thousandths of a core
+     */
+    public record Origin(
+            InstanceId instance, long startedMillis, HostPort address, AvailabilityZone zone, int milliCores) {}
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -3,14 +3,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.random.RandomGenerator;
 
 import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
+import org.mangoridge.gateway.balance.LoadShare;
 
 /**
  * The instances that reports come from and go to, as a state machine used by one thread.
@@ -36,7 +40,22 @@
 
     private record Contact(Duration learned, Duration heard) {}
 
-    private record Peer(HostPort address, long startedMillis, long sequence, Duration heard, long configVersion) {}
+    /**
+     * What is known of an instance that is present.
+     *
+     * @param origin its run
+     * @param sequence the number of its newest report
+     * @param heard when that report came, by whichever way
+     * @param loads the load that it puts on servers
+     * @param relaying whether it passes the reports of others on
+     */
+    record Peer(
+            LoadReport.Origin origin, long sequence, Duration heard, Map<ServerId, LoadShare> loads, boolean relaying) {
+
+        HostPort address() {
+            return origin.address();
+        }
+    }
 
     /** What a report changes. */
     public enum Outcome {
@@ -44,7 +63,9 @@
         STALE,
         /** It comes from an instance that was not present. */
         JOINED,
-        /** It renews what is known. */
+        /** Its load is another than before. */
+        CHANGED,
+        /** It shows that its sender is there, and nothing new. */
         RENEWED,
         /** Its sender ends. */
         LEFT
@@ -61,30 +82,35 @@
         return new PeerTable(self, seeds, random);
     }
 
-    /** Takes a report that came from {@code from}. */
-    public Outcome received(LoadReport report, HostPort from, Duration now) {
+    /** Takes a report. */
+    public Outcome received(LoadReport report, Duration now) {
         report.peers().forEach(address -> learn(address, now));
-        Peer known = peers.get(report.sender());
+        InstanceId instance = report.origin().instance();
+        HostPort address = report.origin().address();
+        Peer known = peers.get(instance);
         if (known != null && isOlder(report, known)) {
             return Outcome.STALE;
         }
         if (report.leaving()) {
-            peers.remove(report.sender());
-            contacts.remove(from);
+            peers.remove(instance);
+            contacts.remove(address);
             return Outcome.LEFT;
         }
         boolean present = known != null && now.minus(known.heard()).compareTo(PRESENT) <= 0;
-        peers.put(
-                report.sender(),
-                new Peer(from, report.startedMillis(), report.sequence(), now, report.configVersion()));
-        contacts.put(from, new Contact(now, now));
+        peers.put(instance, new Peer(report.origin(), report.sequence(), now, report.loads(), report.relaying()));
+        contacts.put(address, new Contact(now, now));
         newestConfig = Math.max(newestConfig, report.configVersion());
-        return present ? Outcome.RENEWED : Outcome.JOINED;
+        if (!present) {
+            return Outcome.JOINED;
+        }
+        return known.loads().equals(report.loads()) ? Outcome.RENEWED : Outcome.CHANGED;
     }
 
     private static boolean isOlder(LoadReport report, Peer known) {
-        if (report.startedMillis() != known.startedMillis()) {
-            return report.startedMillis() < known.startedMillis();
+        long started = report.origin().startedMillis();
+        long knownStarted = known.origin().startedMillis();
+        if (started != knownStarted) {
+            return started < knownStarted;
         }
         return report.sequence() <= known.sequence();
     }
@@ -113,27 +139,39 @@
         return gone;
     }
 
-    /** Returns where reports go: to every instance that is present. */
+    /** Returns the instances that are present. */
+    Collection<Peer> peers() {
+        return peers.values();
+    }
+
+    /** Returns the addresses of the instances that are present. */
     public Collection<HostPort> present() {
         return peers.values().stream().map(Peer::address).distinct().toList();
     }
 
-    /** Returns addresses to try where no instance is known to be present. */
-    public List<HostPort> absent() {
+    /** Returns at most {@code limit} addresses, drawn anew, to try where no instance is known to be present. */
+    public List<HostPort> absent(int limit) {
         Collection<HostPort> present = present();
         List<HostPort> addresses = new ArrayList<>(seeds);
         addresses.addAll(contacts.keySet());
-        return addresses.stream()
+        List<HostPort> absent = new ArrayList<>(addresses.stream()
                 .filter(address -> !present.contains(address) && !address.equals(self))
                 .distinct()
-                .toList();
+                .toList());
+        return drawn(absent, limit);
     }
 
     /** Returns some addresses of present instances to tell others of. */
     public List<HostPort> some() {
-        List<HostPort> addresses = new ArrayList<>(present());
-        java.util.Collections.shuffle(addresses, java.util.Random.from(random));
-        return addresses.subList(0, Math.min(MAX_TOLD, addresses.size()));
+        return drawn(new ArrayList<>(present()), MAX_TOLD);
+    }
+
+    private List<HostPort> drawn(List<HostPort> addresses, int limit) {
+        if (addresses.size() <= limit) {
+            return addresses;
+        }
+        Collections.shuffle(addresses, Random.from(random));
+        return addresses.subList(0, limit);
     }
 
     /** Returns the greatest version of the configuration that an instance was heard to have, -1 if none. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -35,6 +34,7 @@
     private final int maxConnections;
     private final Set<FrontConnection> connections = new HashSet<>();
     private Channel listening;
+    private Duration lastCheck = Duration.ZERO;
 
     private FrontServer(
             EventLoop loop,
@@ -78,8 +78,6 @@
                 })
                 .bind(address.socketAddress());
         listening = bound.channel();
-        loop.scheduleWithFixedDelay(
-                this::checkTimes, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -112,7 +110,13 @@
                 .addLast(connection);
     }
 
-    private void checkTimes() {
+    /** Closes connections that were silent for too long; looks a few times a second, however often it is called. */
+    public void checkTimes() {
+        Duration now = clock.elapsed();
+        if (now.minus(lastCheck).compareTo(CHECK_INTERVAL) < 0) {
+            return;
+        }
+        lastCheck = now;
         connections.forEach(FrontConnection::checkTime);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -28,6 +28,7 @@
 import org.mangoridge.gateway.exchange.RequestRouter;
 import org.mangoridge.gateway.follow.Follower;
 import org.mangoridge.gateway.gossip.LoadExchange;
+import org.mangoridge.gateway.gossip.LoadReport;
 import org.mangoridge.gateway.gossip.PeerTable;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.net.BodyMemory;
@@ -68,6 +69,8 @@
     private final GatewayContext context;
     private final RequestRouter router;
     private final FrontServer front;
+    private FrontServer status;
+    private FrontServer metrics;
     private final LoadExchange exchange;
     private final PeerTable peers;
     private final Follower<GatewayConfig> configFollower;
@@ -76,6 +79,7 @@
     private final StageShell stages;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Duration lastTick;
+    private Duration lastSweep = Duration.ZERO;
     private Duration leavingSince;
     private final EndPlan endPlan;
     private long askedFor = -1;
@@ -122,7 +126,12 @@
         this.exchange = LoadExchange.create(
                 loop,
                 clock,
-                settings.instance(),
+                new LoadReport.Origin(
+                        settings.instance(),
+                        clock.now().toEpochMilli(),
+                        settings.peer(),
+                        settings.zone(),
+                        settings.milliCores()),
                 peers,
                 loads,
                 () -> router.config().map(GatewayConfig::version).orElse(-1L),
@@ -159,10 +168,10 @@
     /** Listens, follows the store and serves. */
     public void start() throws InterruptedException {
         front.listen(settings.front()).sync();
-        FrontServer status = FrontServer.create(
+        status = FrontServer.create(
                 loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 64);
         status.listen(settings.ready()).sync();
-        FrontServer metrics = FrontServer.create(
+        metrics = FrontServer.create(
                 loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 16);
         metrics.listen(settings.metrics()).sync();
         exchange.start(settings.peer()).sync();
@@ -179,8 +188,6 @@
     private void begin() {
         lastTick = clock.elapsed();
         loop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(
-                () -> context.pool().sweep(), SWEEP.toMillis(), SWEEP.toMillis(), TimeUnit.MILLISECONDS);
         configFollower.restart();
         serverFollower.restart();
     }
@@ -214,6 +221,12 @@
             serverFollower.restart();
         }
         serverEvents.expire(now);
+        exchange.tick();
+        List.of(front, status, metrics).forEach(FrontServer::checkTimes);
+        if (now.minus(lastSweep).compareTo(SWEEP) >= 0) {
+            lastSweep = now;
+            context.pool().sweep();
+        }
         tellReadiness();
         if (leavingSince == null) {
             stages.tick(this::modelServers, peers.isFirst(settings.instance()));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param metrics where it serves its metrics
  * @param seeds where other instances may exchange load reports
  * @param memoryBytes the memory of the process
+ * @param milliCores the processor time that the process may use, in thousandths of a core
  * @param maxDescriptors the descriptors of the process
  * @param repeatRatio requests sent once more that are allowed for each request
  * @param repeatAllowance requests sent once more that all instances are allowed besides, in a window
@@ -35,6 +36,7 @@
         HostPort metrics,
         List<HostPort> seeds,
         long memoryBytes,
+        int milliCores,
         int maxDescriptors,
         double repeatRatio,
         int repeatAllowance,
@@ -46,6 +48,7 @@
         Checks.notNull(instance, "instance");
         Checks.notNull(zone, "zone");
         Checks.argument(memoryBytes > 0, "memory must be positive: %d", memoryBytes);
+        Checks.argument(milliCores > 0, "processor time must be positive: %d", milliCores);
         Checks.argument(maxDescriptors > 0, "descriptors must be positive: %d", maxDescriptors);
         Checks.argument(grace.isPositive(), "grace must be positive: %s", grace);
         seeds = List.copyOf(seeds);
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -1,5 +1,5 @@
 /*
- * What entry instances tell each other of the load that they put on servers, one message a datagram.
+ * What entry instances tell each other of the load that they put on servers, batches of them in datagrams.
  *
  * Generate with: thrift --gen java:generated_annotations=suppress -out mangoridge-gateway/src/generated/java \
  *     mangoridge-gateway/src/main/thrift/load.thrift
@@ -27,4 +27,19 @@
   6: required i64 configVersion
   /** Whether the sender ends and will not report again. */
   7: required bool leaving
+  /** Where the sender takes reports, HOST:PORT; a relay passes its message on from another address. */
+  8: required string address
+  /** The availability zone of the sender. */
+  9: required string zone
+  /** The processor time that the sender may use, in thousandths of a core. */
+  10: required i32 milliCores
+  /** Whether the sender passes the reports of others on. */
+  11: required bool relaying
+}
+
+/** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
+struct LoadBatch {
+  1: required list<binary> reports
+  /** Whether the receiver is to pass the reports on, and to send the sender those of others. */
+  2: required bool passOn
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
@@ -16,19 +17,32 @@
     @Test
     void aReportSurvivesTheWay() {
         LoadReport report = new LoadReport(
-                InstanceId.of("entry-1"),
-                17,
+                new LoadReport.Origin(
+                        InstanceId.of("entry-1"),
+                        17,
+                        new HostPort("10.0.0.7", 7000),
+                        AvailabilityZone.of("zone-a"),
+                        750),
                 4,
                 Map.of(ServerId.of("s-1"), new LoadShare(2, 3000, 9000)),
                 List.of(new HostPort("10.0.0.1", 7000)),
                 12,
+                true,
                 false);
-        assertThat(LoadCodec.decode(LoadCodec.encode(report)).value()).isEqualTo(report);
+        byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), LoadCodec.encode(report)), true);
+        LoadCodec.Batch batch = LoadCodec.decodeBatch(datagram).value();
+        assertThat(batch.passOn()).isTrue();
+        assertThat(batch.reports()).hasSize(2);
+        for (byte[] encoded : batch.reports()) {
+            assertThat(LoadCodec.create().decode(encoded).value()).isEqualTo(report);
+        }
     }
 
     @Test
     void whatIsNoReportIsRejected() {
-        assertThat(LoadCodec.decode(new byte[] {1, 2, 3}).isOk()).isFalse();
-        assertThat(LoadCodec.decode(new byte[0]).isOk()).isFalse();
+        assertThat(LoadCodec.create().decode(new byte[] {1, 2, 3}).isOk()).isFalse();
+        assertThat(LoadCodec.create().decode(new byte[0]).isOk()).isFalse();
+        assertThat(LoadCodec.decodeBatch(new byte[] {1, 2, 3}).isOk()).isFalse();
+        assertThat(LoadCodec.decodeBatch(new byte[0]).isOk()).isFalse();
     }
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
 
@@ -20,19 +21,21 @@
     private final PeerTable table = PeerTable.create(SELF, List.of(SELF, SEED), new SplittableRandom(1));
 
     private static LoadReport report(String sender, long started, long sequence, boolean leaving) {
-        return new LoadReport(InstanceId.of(sender), started, sequence, Map.of(), List.of(OTHER, SELF), 3, leaving);
+        LoadReport.Origin origin =
+                new LoadReport.Origin(InstanceId.of(sender), started, SEED, AvailabilityZone.of("zone-a"), 750);
+        return new LoadReport(origin, sequence, Map.of(), List.of(OTHER, SELF), 3, true, leaving);
     }
 
     private PeerTable.Outcome received(LoadReport report, long second) {
-        return table.received(report, SEED, Duration.ofSeconds(second));
+        return table.received(report, Duration.ofSeconds(second));
     }
 
     @Test
     void seedsAreTriedUntilTheyAnswerAndTellOfOthers() {
-        assertThat(table.absent()).containsExactly(SEED);
+        assertThat(table.absent(64)).containsExactly(SEED);
         assertThat(received(report("entry-2", 1, 1, false), 1)).isEqualTo(PeerTable.Outcome.JOINED);
         assertThat(table.present()).containsExactly(SEED);
-        assertThat(table.absent()).containsExactly(OTHER);
+        assertThat(table.absent(64)).containsExactly(OTHER);
     }
 
     @Test
@@ -48,13 +51,13 @@
         received(report("entry-2", 1, 1, false), 1);
         assertThat(table.expire(Duration.ofSeconds(6))).containsExactly(InstanceId.of("entry-2"));
         assertThat(table.present()).isEmpty();
-        assertThat(table.absent()).contains(SEED);
+        assertThat(table.absent(64)).contains(SEED);
     }
 
     /** In a fleet of hundreds reports get rarer; a lost one must not make a peer seem gone. */
     @Test
     void twoReportsFitIntoTheTimeThatAPeerMayBeSilent() {
-        Duration two = LoadExchange.LONGEST_CALM_INTERVAL.multipliedBy(2);
+        Duration two = LoadGossip.CALM_TO_RELAY.multipliedBy(2);
         assertThat(two).isLessThan(PeerTable.PRESENT);
     }
 
