Have room kept at the decode server before a prompt is read

Ruled out: fresher reports (relays changed nothing of it), trusting them less (leaves memory empty).

Change: RoomStep asks the decode server to keep a slot and memory first. Only the server knows who came first. A refusal costs a round trip, and the next server is asked; nothing was sent that a repeat would send again. Engines that do not know of room serve as before. ModelPathTest fails without it: the prompt is read before there is room.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -41,6 +41,8 @@
     STREAM_CUT(208, Level.WARNING, "stream cut"),
     /** A prefill server has read the prompt of a request. */
     PROMPT_READ(209, Level.INFO, "prompt read"),
+    /** A decode server keeps no room for a request whose prompt is to be read. */
+    ROOM_REFUSED(210, Level.INFO, "room refused"),
     /** An attempt at a backend server failed. */
     ATTEMPT_FAILED(301, Level.WARNING, "attempt failed"),
     /** A cancel was not acknowledged in time. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/LoadBook.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/LoadBook.java
@@ -135,7 +135,12 @@
 
     /** Takes note that a server rejected a request for want of room. */
     public void rejected(ServerId server, Duration now) {
-        fullUntil.put(server, now.plus(FULL));
+        full(server, now.plus(FULL));
+    }
+
+    /** Takes note that a server has no room until about {@code until}. */
+    public void full(ServerId server, Duration until) {
+        fullUntil.merge(server, until, (known, other) -> known.compareTo(other) >= 0 ? known : other);
     }
 
     /** Tells whether a server lately rejected a request for want of room. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/EngineSpec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/EngineSpec.java
@@ -11,13 +11,15 @@
  * @param kvCapacity KV cache of one server, in tokens
  * @param eventTokens the most tokens that one event of a stream carries
  * @param handleRetention how long a server keeps the KV cache of a prefill that nobody has taken
+ * @param roomRetention how long a server keeps room at most for a request to come; zero if it keeps none
  */
-public record EngineSpec(int slots, int kvCapacity, int eventTokens, Duration handleRetention) {
+public record EngineSpec(int slots, int kvCapacity, int eventTokens, Duration handleRetention, Duration roomRetention) {
 
     public EngineSpec {
         Checks.argument(slots > 0, "slots must be positive: %d", slots);
         Checks.argument(kvCapacity > 0, "KV capacity must be positive: %d", kvCapacity);
         Checks.argument(eventTokens > 0, "eventTokens must be positive: %d", eventTokens);
         Checks.notNull(handleRetention, "handleRetention");
+        Checks.notNull(roomRetention, "roomRetention");
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -45,6 +45,7 @@
     private final Set<ServerId> avoid = new HashSet<>();
     private PrefillStep prefill;
     private DecodeStep decode;
+    private RoomStep room;
     private ScheduledFuture<?> deadlineTimer;
     private boolean begun;
     private boolean ended;
@@ -148,7 +149,12 @@
                                 context.loads().total(split.decode().id()).kvTokens()));
                 decode = new DecodeStep(context, this, split.decode(), split.firstToken());
                 prefill = new PrefillStep(context, this, split.prefill(), split.firstToken());
-                prefill.start();
+                if (spec.roomRetention().isPositive()) {
+                    room = new RoomStep(context, this, split.decode(), split.firstToken());
+                    room.start();
+                } else {
+                    prefill.start();
+                }
             }
             case EnginePlacement.Direct direct -> {
                 scope.log(
@@ -169,14 +175,37 @@
         giveUp(RefusalReason.TARGET_UNREACHABLE, "no server had room in time");
     }
 
+    /** The decode server keeps room, or does not know how to; the prompt can be read. */
+    void roomKept() {
+        prefill.start();
+    }
+
+    /** The decode server keeps no room; nothing was sent that a repeat would send again. */
+    void roomRefused() {
+        room = null;
+        prefill.abandon();
+        prefill = null;
+        decode.release();
+        decode = null;
+        placeOrWait();
+    }
+
+    /** The decode server did not say whether it keeps room. */
+    void roomUnknown(ServerEntry server) {
+        avoid.add(server.id());
+        roomRefused();
+    }
+
     /** The prompt is read; the decode server takes its KV cache over. */
     void prefilled() {
-        decode.start(prefill.cache());
+        Optional<String> kept = room == null ? Optional.empty() : room.use();
+        decode.start(prefill.cache(kept));
     }
 
     /** The prompt was not read; nothing ran. */
     void prefillFailed(ServerEntry server, String detail) {
         avoid.add(server.id());
+        returnRoom();
         decode.release();
         prefill = null;
         decode = null;
@@ -218,7 +247,7 @@
                 Field.of("repeated", true),
                 Field.of("next", other.get().id()));
         decode = new DecodeStep(context, this, other.get(), HAND_OVER);
-        decode.start(prefill.cache());
+        decode.start(prefill.cache(Optional.empty()));
         return true;
     }
 
@@ -331,11 +360,19 @@
         if (prefill != null) {
             prefill.abandon();
         }
+        returnRoom();
         if (decode != null) {
             decode.abandon();
         }
     }
 
+    private void returnRoom() {
+        if (room != null) {
+            room.abandon();
+            room = null;
+        }
+    }
+
     private void giveUp(RefusalReason reason, String detail) {
         end();
         Duration after = LEAST_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_SPREAD_MILLIS));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -98,14 +98,22 @@
         return holding && age.plus(TAKE_OVER).compareTo(exchange.spec().handleRetention()) < 0;
     }
 
-    /** Returns the work of a server that generates from the KV cache. */
-    AttemptWork.FromCache cache() {
-        return new AttemptWork.FromCache(server.address(), handle);
+    /**
+     * Returns the work of a server that generates from the KV cache.
+     *
+     * @param room what that server keeps for the request, if anything
+     */
+    AttemptWork.FromCache cache(Optional<String> room) {
+        return new AttemptWork.FromCache(server.address(), handle, room);
     }
 
     /** Gives the prefill up, or the KV cache that it made. */
     void abandon() {
-        if (reading) {
+        if (call == null) {
+            reading = false;
+            holding = false;
+            body.release();
+        } else if (reading) {
             call.cancel();
             finishReading();
             context.tracks().withdrawn(server.id());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/AttemptWork.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/AttemptWork.java
@@ -1,5 +1,7 @@
 package org.mangoridge.gateway.request;
 
+import java.util.Optional;
+
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.net.HostPort;
 
@@ -17,12 +19,14 @@
      *
      * @param source the server that keeps it
      * @param handle what it is called there
+     * @param room what the room is called that the server keeps for the request; empty if it keeps none
      */
-    record FromCache(HostPort source, String handle) implements AttemptWork {
+    record FromCache(HostPort source, String handle, Optional<String> room) implements AttemptWork {
 
         public FromCache {
             Checks.notNull(source, "source");
             Checks.notBlank(handle, "handle");
+            Checks.notNull(room, "room");
         }
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/WireDialect.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/WireDialect.java
@@ -1,11 +1,13 @@
 package org.mangoridge.gateway.request;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.RequestId;
+import org.mangoridge.core.id.ServerId;
 
 /**
  * How requests and answers are spelled between callers, this instance and servers.
@@ -35,6 +37,23 @@
     /** Adds the id of the request to an answer of this instance's own. */
     void writeOwnAnswer(HttpHeaders headers, RequestId id);
 
+    /** Returns the path, with the method POST, that asks a server to keep room. */
+    String roomPath();
+
+    /**
+     * Adds what a server must be told with a request to keep room, and returns the body.
+     *
+     * @param tokens the KV cache to keep room for; a slot is kept too
+     * @param time how long to keep it
+     */
+    byte[] writeRoomRequest(HttpHeaders headers, ServerId server, int tokens, Duration time);
+
+    /** Reads the name of the room that a server keeps; empty if the body names none. */
+    Optional<String> readRoom(byte[] body);
+
+    /** Returns the path, with the method DELETE, that gives room back. */
+    String returnRoomPath(String room);
+
     /** Returns the path, with the method DELETE, that frees KV cache which nobody will take. */
     String releasePath(String handle);
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineFixture.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineFixture.java
@@ -51,7 +51,7 @@
     }
 
     EnginePlacement place(int prompt, Duration within) {
-        EngineSpec spec = new EngineSpec(16, KV_CAPACITY, 11, Duration.ofMillis(500));
+        EngineSpec spec = new EngineSpec(16, KV_CAPACITY, 11, Duration.ofMillis(500), Duration.ofSeconds(2));
         return balancer.choose(servers, spec, new TokenDemand(prompt, 1870, 800), Set.of(), within, LONGEST_PAUSE, now);
     }
 }
