Keep the tick alive, and tell a removal from a lapse

Cause 1: looking for idle connections walked the set that closing changes; the exception ended the timer for good, with it idle checks (before), and since the timers are one tick, servers' expiry, reports and drains. Cause 2: after an outage the store counted as back only when a watch answered, up to 15 s later; a removal in that answer was taken for an entry that lapsed. Cause 3: a watch whose connection is silent holds changes of servers back for up to 17 s.

Change: the set is copied, the tick logs what it throws and goes on. The first watch after a failure is short. Reports tell the newest change of servers that their sender knows; who has not seen it asks anew.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/FeedChanges.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/FeedChanges.java
@@ -7,8 +7,9 @@
  *
  * @param changes the changes, none if nothing changed in the time that was waited
  * @param revision the store's revision from which to go on
+ * @param newest the revision of the newest of the changes, -1 if there are none
  */
-public record FeedChanges<T>(List<Change<T>> changes, long revision) {
+public record FeedChanges<T>(List<Change<T>> changes, long revision, long newest) {
 
     public FeedChanges {
         changes = List.copyOf(changes);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/Follower.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/Follower.java
@@ -20,6 +20,9 @@
     /** How long one watch waits; each call is paid for, and a peer's word or a keep-alive shows a silent one sooner. */
     public static final Duration WATCH_WAIT = Duration.ofSeconds(15);
 
+    /** The wait of the first watch after a failure, so that its answer shows when the store is back. */
+    private static final Duration SHORT_WAIT = Duration.ofMillis(10);
+
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
 
@@ -31,10 +34,12 @@
     private final List<T> collected = new ArrayList<>();
     private Duration pause = FIRST_PAUSE;
     private long revision = -1;
+    private long newestChange = -1;
     /** The revision of the first page: changes between pages are seen by the watch. */
     private long listRevision = -1;
 
     private int round;
+    private boolean failing;
 
     private Follower(
             ObjectFeed<T> feed,
@@ -72,11 +77,26 @@
         list(Optional.empty(), round);
     }
 
-    /** Returns the revision that is known, -1 if none is. */
+    /** Returns the revision up to which every change is known, -1 if none is. */
     public long revision() {
         return revision;
     }
 
+    /** Returns the revision of the newest change that was seen, -1 if none was. */
+    public long newestChange() {
+        return newestChange;
+    }
+
+    /** Asks anew for what changed since then; a call in progress is no longer heard. */
+    public void lookAgain() {
+        if (revision < 0) {
+            restart();
+        } else {
+            round++;
+            watch(round);
+        }
+    }
+
     private void list(Optional<String> after, int of) {
         feed.list(after, answer -> {
             if (of != round) {
@@ -95,6 +115,7 @@
             listRevision = page.revision();
         }
         collected.addAll(page.items());
+        newestChange = Math.max(newestChange, page.newest());
         if (page.next().isPresent()) {
             list(page.next(), of);
             return;
@@ -106,7 +127,7 @@
     }
 
     private void watch(int of) {
-        feed.watch(revision, WATCH_WAIT, answer -> {
+        feed.watch(revision, failing ? SHORT_WAIT : WATCH_WAIT, answer -> {
             if (of != round) {
                 return;
             }
@@ -126,6 +147,7 @@
             }
         }
         revision = Math.max(revision, changes.revision());
+        newestChange = Math.max(newestChange, changes.newest());
         if (changes.changes().isEmpty()) {
             watch(of);
         } else {
@@ -147,6 +169,7 @@
 
     private void failed(FeedFailure failure, Runnable again) {
         if (failure.kind() == FeedFailure.Kind.UNAVAILABLE) {
+            failing = true;
             listener.reachable(false, failure.detail());
         }
         int of = round;
@@ -161,6 +184,7 @@
 
     private void answered() {
         pause = FIRST_PAUSE;
+        failing = false;
         listener.reachable(true, "");
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -51,12 +51,13 @@
                 report.sequence(),
                 shares,
                 peers,
-                report.configVersion(),
+                report.seen().configVersion(),
                 report.leaving(),
                 origin.address().toString(),
                 origin.zone().value(),
                 origin.milliCores(),
-                report.relaying()));
+                report.relaying(),
+                report.seen().serversRevision()));
     }
 
     static byte[] encodeBatch(List<byte[]> reports, boolean passOn) {
@@ -108,7 +109,7 @@
                     message.getSequence(),
                     loads,
                     message.getPeers().stream().map(this::address).toList(),
-                    message.getConfigVersion(),
+                    new LoadReport.Seen(message.getConfigVersion(), message.getServersRevision()),
                     message.isRelaying(),
                     message.isLeaving()));
         } catch (TException | IllegalArgumentException e) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadExchange.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -65,7 +65,7 @@
      * Returns an exchange that neither sends nor takes reports yet.
      *
      * @param self this run of this instance
-     * @param configVersion gives the version of the configuration, -1 if there is none
+     * @param seen gives what this instance has of the store
      * @param onChange told when the load of a peer changed
      */
     public static LoadExchange create(
@@ -74,10 +74,10 @@
             LoadReport.Origin self,
             PeerTable table,
             LoadBook loads,
-            LongSupplier configVersion,
+            Supplier<LoadReport.Seen> seen,
             Runnable onChange,
             EventSink log) {
-        LoadGossip gossip = LoadGossip.create(self, table, loads::ownLoads, configVersion);
+        LoadGossip gossip = LoadGossip.create(self, table, loads::ownLoads, seen);
         return new LoadExchange(loop, clock, table, loads, gossip, onChange, log);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import org.mangoridge.core.Result;
@@ -58,7 +57,7 @@
     private final PeerTable table;
     private final RelayPlan plan;
     private final Supplier<Map<ServerId, LoadShare>> ownLoads;
-    private final LongSupplier configVersion;
+    private final Supplier<LoadReport.Seen> seen;
     private final LoadCodec codec = LoadCodec.create();
     private final Outbox first = new Outbox();
     private final Outbox spread = new Outbox();
@@ -101,12 +100,12 @@
             LoadReport.Origin self,
             PeerTable table,
             Supplier<Map<ServerId, LoadShare>> ownLoads,
-            LongSupplier configVersion) {
+            Supplier<LoadReport.Seen> seen) {
         this.self = self;
         this.table = table;
         this.plan = RelayPlan.create(self, table);
         this.ownLoads = ownLoads;
-        this.configVersion = configVersion;
+        this.seen = seen;
         this.routes = new RelayPlan.Routes(true, true, List.of(), List.of());
     }
 
@@ -114,14 +113,14 @@
      * Returns a machine that has sent and heard nothing.
      *
      * @param ownLoads gives the load that this instance puts on servers
-     * @param configVersion gives the version of the configuration, -1 if there is none
+     * @param seen gives what this instance has of the store
      */
     static LoadGossip create(
             LoadReport.Origin self,
             PeerTable table,
             Supplier<Map<ServerId, LoadShare>> ownLoads,
-            LongSupplier configVersion) {
-        return new LoadGossip(self, table, ownLoads, configVersion);
+            Supplier<LoadReport.Seen> seen) {
+        return new LoadGossip(self, table, ownLoads, seen);
     }
 
     /** Takes note that the own load changed. */
@@ -314,7 +313,7 @@
     }
 
     private LoadReport report(Map<ServerId, LoadShare> loads, List<HostPort> told, boolean leaving) {
-        return new LoadReport(self, ++sequence, loads, told, configVersion.getAsLong(), routes.relaying(), leaving);
+        return new LoadReport(self, ++sequence, loads, told, seen.get(), routes.relaying(), leaving);
     }
 
     private static void send(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
@@ -16,7 +16,7 @@
  * @param sequence numbers the reports of a run
  * @param loads the load that it puts on servers
  * @param peers addresses of instances that it heard of lately
- * @param configVersion the version of its configuration, -1 if it has none
+ * @param seen what it has of the store
  * @param relaying whether it passes the reports of others on
  * @param leaving whether it ends
  */
@@ -25,7 +25,7 @@
         long sequence,
         Map<ServerId, LoadShare> loads,
         List<HostPort> peers,
-        long configVersion,
+        Seen seen,
         boolean relaying,
         boolean leaving) {
 
@@ -34,6 +34,22 @@
         peers = List.copyOf(peers);
     }
 
+    /**
+     * What an instance has of the store.
+     *
+     * @param configVersion the version of its configuration, -1 if it has none
+     * @param serversRevision the store's revision at the newest change of a server that it knows, -1 if it knows none
+     */
+    public record Seen(long configVersion, long serversRevision) {
+
+        static final Seen NOTHING = new Seen(-1, -1);
+
+        Seen newer(Seen other) {
+            return new Seen(
+                    Math.max(configVersion, other.configVersion), Math.max(serversRevision, other.serversRevision));
+        }
+    }
+
     /**
      * One run of an instance.
      *
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -36,7 +36,7 @@
     private final Map<HostPort, Contact> contacts = new LinkedHashMap<>();
     private final Map<InstanceId, Peer> peers = new HashMap<>();
 
-    private long newestConfig = -1;
+    private LoadReport.Seen newest = LoadReport.Seen.NOTHING;
 
     private record Contact(Duration learned, Duration heard) {}
 
@@ -99,7 +99,7 @@
         boolean present = known != null && now.minus(known.heard()).compareTo(PRESENT) <= 0;
         peers.put(instance, new Peer(report.origin(), report.sequence(), now, report.loads(), report.relaying()));
         contacts.put(address, new Contact(now, now));
-        newestConfig = Math.max(newestConfig, report.configVersion());
+        newest = newest.newer(report.seen());
         if (!present) {
             return Outcome.JOINED;
         }
@@ -174,9 +174,9 @@
         return addresses.subList(0, limit);
     }
 
-    /** Returns the greatest version of the configuration that an instance was heard to have, -1 if none. */
-    public long newestConfig() {
-        return newestConfig;
+    /** Returns the newest of what instances were heard to have of the store. */
+    public LoadReport.Seen newest() {
+        return newest;
     }
 
     /** Tells whether an instance comes before all that are present, by name. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -117,7 +117,8 @@
             return;
         }
         lastCheck = now;
-        connections.forEach(FrontConnection::checkTime);
+        // A connection that closes leaves the set at once.
+        Set.copyOf(connections).forEach(FrontConnection::checkTime);
     }
 
     /** Closes the connections that have no request in progress. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -61,6 +61,9 @@
     /** How long after a peer this instance may learn of a configuration before it asks for itself. */
     private static final Duration CONFIG_LAG = Duration.ofMillis(400);
 
+    /** The same for servers: their changes gather for a while before they are asked for. */
+    private static final Duration SERVERS_LAG = SERVER_REST.plusMillis(300);
+
     private final GatewaySettings settings;
     private final Clock clock;
     private final EventSink log;
@@ -82,7 +85,8 @@
     private Duration lastSweep = Duration.ZERO;
     private Duration leavingSince;
     private final EndPlan endPlan;
-    private long askedFor = -1;
+    private long askedForConfig = -1;
+    private long askedForServers = -1;
     private boolean wasReady;
     private boolean stopped;
 
@@ -134,7 +138,7 @@
                         settings.milliCores()),
                 peers,
                 loads,
-                () -> router.config().map(GatewayConfig::version).orElse(-1L),
+                this::seen,
                 this::peersReported,
                 log);
         loads.onOwnChange(exchange::loadChanged);
@@ -187,7 +191,7 @@
 
     private void begin() {
         lastTick = clock.elapsed();
-        loop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::guardedTick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
         configFollower.restart();
         serverFollower.restart();
     }
@@ -198,16 +202,42 @@
 
     /** Room that a peer gave back is found at the next look of the requests that wait. */
     private void peersReported() {
-        long own = router.config().map(GatewayConfig::version).orElse(-1L);
-        long newest = peers.newestConfig();
-        if (newest > own && newest > askedFor) {
-            askedFor = newest;
+        LoadReport.Seen newest = peers.newest();
+        long config = newest.configVersion();
+        if (config > configVersion() && config > askedForConfig) {
+            askedForConfig = config;
             later(CONFIG_LAG, () -> {
-                if (router.config().map(GatewayConfig::version).orElse(-1L) < newest) {
+                if (configVersion() < config) {
                     configFollower.restart();
                 }
             });
         }
+        long servers = newest.serversRevision();
+        if (servers > serverFollower.revision() && servers > askedForServers) {
+            askedForServers = servers;
+            later(SERVERS_LAG, () -> {
+                if (serverFollower.revision() < servers) {
+                    serverFollower.lookAgain();
+                }
+            });
+        }
+    }
+
+    private long configVersion() {
+        return router.config().map(GatewayConfig::version).orElse(-1L);
+    }
+
+    private LoadReport.Seen seen() {
+        return new LoadReport.Seen(configVersion(), serverFollower.newestChange());
+    }
+
+    /** A task that throws is not run again by the event loop; an instance without its tick knows no time any more. */
+    private void guardedTick() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            log.log(LogEvent.INTERNAL_ERROR, Field.of("where", "tick"), Field.of("detail", e));
+        }
     }
 
     private void tick() {
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -35,6 +35,8 @@
   10: required i32 milliCores
   /** Whether the sender passes the reports of others on. */
   11: required bool relaying
+  /** The store's revision at the newest change of a server that the sender knows, -1 if it knows none. */
+  12: required i64 serversRevision
 }
 
 /** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/follow/FollowerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/follow/FollowerTest.java
@@ -26,6 +26,7 @@
         final List<String> calls = new ArrayList<>();
         Consumer<Result<FeedPage<String>, FeedFailure>> list;
         Consumer<Result<FeedChanges<String>, FeedFailure>> watch;
+        Duration lastWait;
 
         @Override
         public void list(Optional<String> after, Consumer<Result<FeedPage<String>, FeedFailure>> answer) {
@@ -36,6 +37,7 @@
         @Override
         public void watch(long revision, Duration wait, Consumer<Result<FeedChanges<String>, FeedFailure>> answer) {
             calls.add("watch " + revision);
+            lastWait = wait;
             watch = answer;
         }
     }
@@ -72,15 +74,15 @@
 
     private void listed(long revision, String... items) {
         follower.restart();
-        feed.list.accept(Result.ok(new FeedPage<>(List.of(items), Optional.empty(), revision)));
+        feed.list.accept(Result.ok(new FeedPage<>(List.of(items), Optional.empty(), revision, revision)));
     }
 
     @Test
     void pagesAreJoinedAndWatchedFromTheFirstPagesRevision() {
         follower.restart();
-        feed.list.accept(Result.ok(new FeedPage<>(List.of("a"), Optional.of("a"), 10)));
+        feed.list.accept(Result.ok(new FeedPage<>(List.of("a"), Optional.of("a"), 10, 9)));
         assertThat(heard.items).isEmpty();
-        feed.list.accept(Result.ok(new FeedPage<>(List.of("b"), Optional.empty(), 12)));
+        feed.list.accept(Result.ok(new FeedPage<>(List.of("b"), Optional.empty(), 12, 11)));
         assertThat(heard.items).containsExactly("a", "b");
         assertThat(feed.calls).containsExactly("list ", "list a", "watch 10").inOrder();
     }
@@ -89,7 +91,7 @@
     void changesAreAppliedAndTheWatchGoesOn() {
         listed(5, "a");
         feed.watch.accept(Result.ok(new FeedChanges<>(
-                List.of(new FeedChanges.Change.Put<>("b"), new FeedChanges.Change.Removed<>("a")), 7)));
+                List.of(new FeedChanges.Change.Put<>("b"), new FeedChanges.Change.Removed<>("a")), 7, 7)));
         assertThat(heard.items).containsExactly("b");
         assertThat(feed.calls).hasSize(2);
         timers.poll().run();
@@ -113,6 +115,23 @@
         assertThat(feed.calls.get(2)).isEqualTo("watch 5");
     }
 
+    /**
+     * A watch of an idle store answers after seconds; by then a removal can no longer be told from an entry that lapsed
+     * while the store was away.
+     */
+    @Test
+    void afterAFailureAShortWatchTellsWhenTheStoreIsBack() {
+        listed(5, "a");
+        assertThat(feed.lastWait).isEqualTo(Follower.WATCH_WAIT);
+        feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+        timers.poll().run();
+        assertThat(feed.lastWait).isLessThan(Duration.ofMillis(100));
+        feed.watch.accept(Result.ok(new FeedChanges<>(List.of(), 5, -1)));
+        assertThat(heard.reachable).isTrue();
+        assertThat(feed.calls.get(3)).isEqualTo("watch 5");
+        assertThat(feed.lastWait).isEqualTo(Follower.WATCH_WAIT);
+    }
+
     @Test
     void aStoreThatAsksForFewerCallsIsNotTakenAsAway() {
         listed(5, "a");
@@ -120,12 +139,27 @@
         assertThat(heard.reachable).isTrue();
     }
 
+    /** A watch whose connection fell silent is not waited for, once a peer tells of a change that it should have shown. */
+    @Test
+    void whatAPeerKnowsIsAskedForAnew() {
+        listed(5, "a");
+        Consumer<Result<FeedChanges<String>, FeedFailure>> silent = feed.watch;
+        follower.lookAgain();
+        assertThat(feed.calls.getLast()).isEqualTo("watch 5");
+        feed.watch.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Removed<>("a")), 9, 8)));
+        assertThat(heard.items).isEmpty();
+        assertThat(follower.revision()).isEqualTo(9);
+        assertThat(follower.newestChange()).isEqualTo(8);
+        silent.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Put<>("late")), 6, 6)));
+        assertThat(heard.items).isEmpty();
+    }
+
     @Test
     void anAnswerToACallBeforeARestartIsNotHeard() {
         listed(5, "a");
         Consumer<Result<FeedChanges<String>, FeedFailure>> earlier = feed.watch;
         follower.restart();
-        earlier.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Put<>("late")), 9)));
+        earlier.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Put<>("late")), 9, 9)));
         assertThat(heard.items).containsExactly("a");
     }
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -60,7 +60,7 @@
                     AvailabilityZone.of("zone-" + index % zones),
                     360 + index * 37 % 1000);
             table = PeerTable.create(address, seeds, random.split());
-            gossip = LoadGossip.create(origin, table, loads::ownLoads, () -> 1L);
+            gossip = LoadGossip.create(origin, table, loads::ownLoads, () -> new LoadReport.Seen(1, 1));
             loads.onOwnChange(urgency -> {
                 gossip.ownChanged(urgency, now);
                 arm();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
@@ -23,7 +23,8 @@
     private static LoadReport report(String sender, long started, long sequence, boolean leaving) {
         LoadReport.Origin origin =
                 new LoadReport.Origin(InstanceId.of(sender), started, SEED, AvailabilityZone.of("zone-a"), 750);
-        return new LoadReport(origin, sequence, Map.of(), List.of(OTHER, SELF), 3, true, leaving);
+        return new LoadReport(
+                origin, sequence, Map.of(), List.of(OTHER, SELF), new LoadReport.Seen(3, 4), true, leaving);
     }
 
     private PeerTable.Outcome received(LoadReport report, long second) {
