Bound what relays send in a fleet of hundreds

Change: a relay for every 24 instances of a zone; the rest before the next batch grows with the datagrams sent; news between relays rest 3 ms for each other relay; calm reports to a relay are rarer above 100 instances.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -31,6 +31,12 @@
     static final Duration CALM_INTERVAL = Duration.ofMillis(700);
     /** Reports to a relay; two of them lost, a third must come within the time after which a peer counts as absent. */
     static final Duration CALM_TO_RELAY = Duration.ofSeconds(1);
+    /** What shows that hundreds are there is rarer, but twice within the time after which a peer counts as absent. */
+    static final Duration LONGEST_CALM_TO_RELAY = Duration.ofMillis(1800);
+
+    private static final Duration CALM_PER_PEER = Duration.ofMillis(3);
+    /** Up to this size the shortest interval costs little. */
+    private static final int LARGE_FLEET = 100;
     /** Reports of a relay, by which others see that it still passes reports on. */
     static final Duration CALM_OF_RELAY = Duration.ofMillis(500);
 
@@ -38,14 +44,20 @@
     private static final Duration URGENT_REST = Duration.ofMillis(1);
     /** Between relays, news of several instances share a datagram. */
     private static final Duration RELAY_REST = Duration.ofMillis(10);
+    /** Rest for each other relay, so that relays send each other about 330 datagrams a second in a fleet of any size. */
+    private static final Duration REST_PER_RELAY = Duration.ofMillis(3);
 
     private static final Duration SHORTEST_REST = Duration.ofMillis(100);
     /** Rest for each peer, so that a process sends and takes about 125 datagrams a second in a fleet of any size. */
     private static final Duration REST_PER_PEER = Duration.ofMillis(8);
-    /** Rest for each subscriber, so that a relay sends them about 500 datagrams a second. */
-    private static final Duration REST_PER_SUBSCRIBER = Duration.ofMillis(2);
+    /** Rest for each subscriber, and for each datagram beyond the allowance: a relay sends about 500 a second. */
+    private static final Duration REST_PER_DATAGRAM = Duration.ofMillis(2);
+    /** Datagrams that a relay may send ahead, such as all that it knows to a zone's instances. */
+    private static final Duration ALLOWANCE = REST_PER_DATAGRAM.multipliedBy(200);
 
     private static final Duration SHORTEST_SPREAD_REST = Duration.ofMillis(20);
+    /** Well below the time after which a silent peer counts as absent. */
+    private static final Duration LONGEST_SPREAD_REST = Duration.ofSeconds(1);
     /** Reports in a datagram stay well below what a link carries in one packet. */
     private static final int MAX_BATCH_BYTES = 1200;
     /** Silent addresses that are tried at each calm report, in a small fleet and by a relay; others try none. */
@@ -75,6 +87,8 @@
         private Map<ServerId, LoadShare> ownSent = Map.of();
         private Duration due;
         private Duration lastSent = Duration.ZERO;
+        /** The time that the datagrams sent would have taken at the usual rate, beyond what has passed. */
+        private Duration debt = Duration.ZERO;
 
         private void dueAt(Duration time) {
             if (due == null || time.compareTo(due) < 0) {
@@ -82,7 +96,9 @@
             }
         }
 
-        private void sent(Duration now) {
+        private void sent(int datagrams, Duration now) {
+            Duration left = debt.minus(now.minus(lastSent));
+            debt = longer(Duration.ZERO, left).plus(REST_PER_DATAGRAM.multipliedBy(datagrams));
             reports.clear();
             own = false;
             due = null;
@@ -129,7 +145,11 @@
             return;
         }
         first.own = true;
-        first.dueAt(urgency == Urgency.AT_ONCE ? now.plus(URGENT_REST) : restedSince(first, soonRest(), now));
+        if (urgency == Urgency.SOON) {
+            first.dueAt(restedSince(first, soonRest(), now));
+        } else {
+            first.dueAt(isRelay() ? restedSince(first, relayRest(), now) : now.plus(URGENT_REST));
+        }
         if (!routes.subscribers().isEmpty()) {
             spread.own = true;
             spread.dueAt(restedSince(spread, spreadRest(), now));
@@ -181,7 +201,7 @@
 
     /** What only shows that an instance is there goes along with the next report of this one. */
     private void passOn(News news, byte[] encoded, boolean ofSubscriber, Duration now) {
-        if (routes.mesh() || !routes.relaying()) {
+        if (!isRelay()) {
             return;
         }
         InstanceId instance = news.report().origin().instance();
@@ -195,7 +215,7 @@
         if (ofSubscriber) {
             first.reports.put(instance, encoded);
             if (soon) {
-                first.dueAt(now.plus(RELAY_REST));
+                first.dueAt(restedSince(first, relayRest(), now.plus(RELAY_REST)));
             }
         }
     }
@@ -256,11 +276,16 @@
         byte[] own = LoadCodec.encode(report(loads, told, false));
         send(first.reports.values(), own, routes.first(), !routes.relaying(), datagrams);
         send(List.of(), own, table.absent(tried()), false, datagrams);
-        send(spread.reports.values(), own, routes.subscribers(), false, datagrams);
         first.ownSent = loads;
-        spread.ownSent = loads;
-        first.sent(now);
-        spread.sent(now);
+        int before = datagrams.size();
+        if (spread.due == null || now.compareTo(spread.due) >= 0) {
+            send(spread.reports.values(), own, routes.subscribers(), false, datagrams);
+            spread.ownSent = loads;
+            spread.sent(datagrams.size() - before, now);
+        } else {
+            spread.reports.put(self.instance(), own);
+        }
+        first.sent(before, now);
     }
 
     private void answer(List<Datagram> datagrams) {
@@ -282,7 +307,20 @@
         if (routes.mesh()) {
             return CALM_INTERVAL;
         }
-        return routes.relaying() ? CALM_OF_RELAY : CALM_TO_RELAY;
+        if (routes.relaying()) {
+            return CALM_OF_RELAY;
+        }
+        Duration scaled = CALM_TO_RELAY.plus(CALM_PER_PEER.multipliedBy(Math.max(0, table.size() - LARGE_FLEET)));
+        return scaled.compareTo(LONGEST_CALM_TO_RELAY) > 0 ? LONGEST_CALM_TO_RELAY : scaled;
+    }
+
+    /** Tells whether this instance passes the reports of others on; in a small fleet nobody has to. */
+    private boolean isRelay() {
+        return routes.relaying() && !routes.mesh();
+    }
+
+    private Duration relayRest() {
+        return longer(RELAY_REST, REST_PER_RELAY.multipliedBy(routes.first().size()));
     }
 
     private void flush(Outbox box, Collection<HostPort> receivers, Duration now, List<Datagram> datagrams) {
@@ -294,8 +332,9 @@
         }
         boolean empty = own == null && box.reports.isEmpty();
         if (!empty) {
+            int before = datagrams.size();
             send(box.reports.values(), own, receivers, !routes.relaying(), datagrams);
-            box.sent(now);
+            box.sent(datagrams.size() - before, now);
         } else {
             box.own = false;
             box.due = null;
@@ -349,9 +388,9 @@
     }
 
     private Duration spreadRest() {
-        return longer(
-                SHORTEST_SPREAD_REST,
-                REST_PER_SUBSCRIBER.multipliedBy(routes.subscribers().size()));
+        Duration bySize = REST_PER_DATAGRAM.multipliedBy(routes.subscribers().size());
+        Duration rest = longer(longer(SHORTEST_SPREAD_REST, bySize), spread.debt.minus(ALLOWANCE));
+        return rest.compareTo(LONGEST_SPREAD_REST) > 0 ? LONGEST_SPREAD_REST : rest;
     }
 
     private static Duration longer(Duration one, Duration other) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/RelayPlan.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/RelayPlan.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -13,14 +14,16 @@
  * Decides to whom this instance sends reports, from the instances that are present; used by one thread.
  *
  * <p>In a small fleet every instance writes to every other. In a large one an instance writes to a relay of its
- * availability zone only, and the relays write to each other and to those that write to them. The relay of a zone is its
- * strongest instance, of equals the first by name. One that sends nothing back is kept as a target, but the next is
+ * availability zone only, and the relays write to each other and to those that write to them. The relays of a zone are
+ * its strongest instances, of equals the first by name, as many as its size needs. One that sends nothing back is kept as a target, but the next is
  * written to as well, so that no report is held up until a lost relay is known to be gone.
  */
 final class RelayPlan {
 
     /** Above this number of instances relays cost less than a datagram from each to each at every change. */
     static final int MESH = 16;
+    /** Instances of a zone for each relay, so that a relay's link of 7 Mbit/s carries its datagrams. */
+    private static final int ZONE_PER_RELAY = 24;
     /** A relay writes at least every 500 ms; three of its datagrams may be lost. */
     static final Duration RELAY_SILENT = Duration.ofMillis(1700);
     /** Relays that do not answer and are written to all the same. */
@@ -107,6 +110,13 @@
             }
         }
         candidates.sort(STRONGEST_FIRST);
+        int relays = Math.ceilDiv(candidates.size(), ZONE_PER_RELAY);
+        List<LoadReport.Origin> first = candidates.subList(0, relays);
+        if (first.contains(self)) {
+            return List.of(self.address());
+        }
+        // The instances of a zone share its relays evenly.
+        Collections.rotate(first, candidates.indexOf(self) % relays);
         List<HostPort> chosen = new ArrayList<>();
         for (LoadReport.Origin candidate : candidates) {
             if (candidate.equals(self) || isConfirmed(candidate.address(), now)) {
