Spread the return of refused callers by the share that is refused

Change: ReturnTimes; the larger the share refused in the last seconds, the longer the spread, up to 5 s and half of what the caller has left.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -34,9 +34,6 @@
     /** Expected time from the hand-over of KV cache to the first token. */
     private static final Duration HAND_OVER = Duration.ofMillis(100);
 
-    private static final Duration LEAST_RETRY_AFTER = Duration.ofMillis(400);
-    private static final int RETRY_SPREAD_MILLIS = 1200;
-
     private final GatewayContext context;
     private final RequestScope scope;
     private final EngineSpec spec;
@@ -300,6 +297,7 @@
     void completed(ServerEntry server, int status) {
         releasePrefill();
         end();
+        queue.returnTimes().served(context.now());
         scope.exchange().finish();
         scope.logAnswered(
                 server.id(),
@@ -375,7 +373,7 @@
 
     private void giveUp(RefusalReason reason, String detail) {
         end();
-        Duration after = LEAST_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_SPREAD_MILLIS));
+        Duration after = queue.returnTimes().refused(scope.left(), context.random(), context.now());
         scope.refuse(reason, detail, Optional.of(after), Field.of("waiting", queue.size(scope.service())));
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -7,6 +7,7 @@
 
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.gateway.balance.EnginePlacement;
+import org.mangoridge.gateway.balance.ReturnTimes;
 import org.mangoridge.gateway.balance.WaitingLine;
 import org.mangoridge.gateway.balance.WaitingLine.Waiter;
 import org.mangoridge.gateway.config.Route;
@@ -21,6 +22,7 @@
 
     private final GatewayContext context;
     private final Map<ServiceId, WaitingLine<ModelExchange>> lines = new HashMap<>();
+    private final ReturnTimes returnTimes = ReturnTimes.create();
     private boolean looking;
     private boolean placing;
 
@@ -53,6 +55,11 @@
         return line == null ? 0 : line.size();
     }
 
+    /** Returns what says when refused callers come back. */
+    ReturnTimes returnTimes() {
+        return returnTimes;
+    }
+
     /** Places the requests that there is room for. */
     void roomMayHaveCome() {
         if (placing || lines.values().stream().allMatch(line -> line.size() == 0)) {
