Give the lease up when a server has seen a greater fencing token

Cause: a holder whose orders were rejected as old went on under the same token: 75 useless orders in 10 s of StageShellTest, which failed before.

Change: the rejection is told to the lease machine, which lets go and takes a greater token when it can.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageShell.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageShell.java
@@ -139,6 +139,10 @@
                     Field.of("fencing", order.fencing()),
                     Field.of("outcome", outcome));
             keeper.settled(order, outcome, clock.elapsed());
+            if (outcome == StageOrderOutcome.OLD_FENCING) {
+                // The server does not say which token it has seen, only that it is greater.
+                react(new LeaseEvent.FencingSeen(order.fencing().value() + 1));
+            }
         });
     }
 
