Wrap and explain what a newcomer would stop at

Cause: the diff read once more as a newcomer: a line of a comment over the width, limits without a reason, a line of the design note. No code changes.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RoomStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RoomStep.java
@@ -34,7 +34,7 @@
     private static final int KEPT_FACTOR = 2;
     /** A server answers within some milliseconds, having nothing to work out; one that takes this long hangs. */
     private static final Duration OVERDUE = Duration.ofMillis(300);
-    /** How long a server that has no room is not asked again; streams end every some 100 ms. */
+    /** How long a server that has no room is not asked again; a stream of a busy server ends about that often. */
     private static final Duration ASK_AGAIN = Duration.ofMillis(100);
 
     private static final int MAX_ANSWER_BYTES = 4096;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -31,11 +31,11 @@
     static final Duration CALM_INTERVAL = Duration.ofMillis(700);
     /** Reports to a relay; two of them lost, a third must come within the time after which a peer counts as absent. */
     static final Duration CALM_TO_RELAY = Duration.ofSeconds(1);
-    /** What shows that hundreds are there is rarer, but twice within the time after which a peer counts as absent. */
+    /** In a fleet of hundreds they are rarer, but come twice within the time after which a peer counts as absent. */
     static final Duration LONGEST_CALM_TO_RELAY = Duration.ofMillis(1800);
-
+    /** How much longer the interval is for each instance beyond {@link #LARGE_FLEET}: 1.72 s at 340. */
     private static final Duration CALM_PER_PEER = Duration.ofMillis(3);
-    /** Up to this size the shortest interval costs little. */
+    /** Up to this number of instances the shortest interval costs little. */
     private static final int LARGE_FLEET = 100;
     /** Reports of a relay, by which others see that it still passes reports on. */
     static final Duration CALM_OF_RELAY = Duration.ofMillis(500);
@@ -58,7 +58,7 @@
     private static final Duration SHORTEST_SPREAD_REST = Duration.ofMillis(20);
     /** Well below the time after which a silent peer counts as absent. */
     private static final Duration LONGEST_SPREAD_REST = Duration.ofSeconds(1);
-    /** Reports in a datagram stay well below what a link carries in one packet. */
+    /** Reports in one datagram, in bytes; with its headers it fits into an Ethernet frame of 1,500. */
     private static final int MAX_BATCH_BYTES = 1200;
     /** Silent addresses that are tried at each calm report, in a small fleet and by a relay; others try none. */
     private static final int TRIED_IN_MESH = 64;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/RelayPlan.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/RelayPlan.java
@@ -15,8 +15,8 @@
  *
  * <p>In a small fleet every instance writes to every other. In a large one an instance writes to a relay of its
  * availability zone only, and the relays write to each other and to those that write to them. The relays of a zone are
- * its strongest instances, of equals the first by name, as many as its size needs. One that sends nothing back is kept as a target, but the next is
- * written to as well, so that no report is held up until a lost relay is known to be gone.
+ * its strongest instances, of equals the first by name, as many as its size needs. One that sends nothing back is kept as
+ * a target, but the next is written to as well, so that no report is held up until a lost relay is known to be gone.
  */
 final class RelayPlan {
 
