Move the gateway's decisions into a module without network

Cause: placement, admission, health and retries stood in a module with Netty on its class path, so that nothing kept I/O out of them. Change: packages balance, config, directory, follow and request move to mangoridge-dispatch, which depends on mangoridge-core alone; WireDialect stays with the shells. ArchitectureTest holds both modules of decisions to the same rule. Load gossip stays, since it decides by the size of encoded datagrams.

--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/ArchitectureTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/ArchitectureTest.java
@@ -4,6 +4,8 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
@@ -19,11 +21,12 @@
         slices().matching("org.mangoridge.(**)").should().beFreeOfCycles().check(CLASSES);
     }
 
-    @Test
-    void decisionsDoNoInput() {
+    @ParameterizedTest
+    @ValueSource(strings = {"org.mangoridge.routing..", "org.mangoridge.dispatch.."})
+    void decisionsDoNoInput(String decisions) {
         noClasses()
                 .that()
-                .resideInAPackage("org.mangoridge.routing..")
+                .resideInAPackage(decisions)
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -31,9 +34,11 @@
                         "java.net..",
                         "java.nio..",
                         "java.util.concurrent..",
+                        "io.netty..",
                         "org.mangoridge.http..",
                         "org.mangoridge.engine..",
-                        "org.mangoridge.objects..")
+                        "org.mangoridge.objects..",
+                        "org.mangoridge.gateway..")
                 .check(CLASSES);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/AdmissionQueue.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/AdmissionQueue.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.ArrayList;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EngineBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.Collection;
@@ -12,10 +12,10 @@
 
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.config.EngineSpec;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
-import org.mangoridge.gateway.request.TokenDemand;
+import org.mangoridge.dispatch.config.EngineSpec;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.request.TokenDemand;
 
 /**
  * Chooses the servers of a model request: the prefill and decode pair, or the single decode server, with the
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/EnginePlacement.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EnginePlacement.java
@@ -1,8 +1,8 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerEntry;
 
 /** The servers chosen for a model request, or that there are none. */
 public sealed interface EnginePlacement {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/PlainBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.List;
@@ -8,7 +8,7 @@
 
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerEntry;
 
 /**
  * Chooses the server of a plain service for a request: the one with the lowest expected cost, mainly latency.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/QueueDeadlines.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/QueueDeadlines.java
@@ -1,8 +1,8 @@
-package org.mangoridge.gateway.exchange;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 
-import org.mangoridge.gateway.config.Route;
+import org.mangoridge.dispatch.config.Route;
 
 /**
  * The deadlines of a model request that waits for capacity, as monotonic times.
@@ -11,7 +11,7 @@
  * @param onTimeUntil when the first token is due to meet the latency target
  * @param giveUpAt when to stop waiting, because the caller would time out before the first token
  */
-record QueueDeadlines(Duration arrived, Duration onTimeUntil, Duration giveUpAt) {
+public record QueueDeadlines(Duration arrived, Duration onTimeUntil, Duration giveUpAt) {
 
     /** Callers are assumed to wait this long for the next event, or for the multiples below if they are longer. */
     private static final Duration MIN_CALLER_TIMEOUT = Duration.ofSeconds(2);
@@ -21,7 +21,8 @@
     /** Share of the caller's assumed timeout that a request may wait; the rest is for prefill and the first token. */
     private static final double WAITING_SHARE = 0.7;
 
-    static QueueDeadlines of(Route route, Duration arrived, Duration deadline) {
+    /** Returns the deadlines of a request of {@code route}. */
+    public static QueueDeadlines of(Route route, Duration arrived, Duration deadline) {
         Duration assumedTimeout = max(
                 MIN_CALLER_TIMEOUT,
                 max(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/ServerLoad.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerLoad.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import org.mangoridge.core.Checks;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/balance/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/package-info.java
@@ -1,2 +1,2 @@
 /** Load balancing, queueing and retry limits; without I/O, and with time passed in by the caller. */
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/GatewayConfig.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/config/GatewayConfig.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.config;
+package org.mangoridge.dispatch.config;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/Route.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/config/Route.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.config;
+package org.mangoridge.dispatch.config;
 
 import java.time.Duration;
 import java.util.List;
@@ -6,7 +6,7 @@
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.id.ServiceId;
-import org.mangoridge.gateway.request.RetryPolicy;
+import org.mangoridge.dispatch.request.RetryPolicy;
 
 /**
  * Where the requests of one host and path prefix go, and how they are handled.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/WeightedService.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/config/WeightedService.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.config;
+package org.mangoridge.dispatch.config;
 
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.ServiceId;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/config/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/config/package-info.java
@@ -1,2 +1,2 @@
 /** The active configuration: routes, services and limits. */
-package org.mangoridge.gateway.config;
+package org.mangoridge.dispatch.config;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.directory;
+package org.mangoridge.dispatch.directory;
 
 import java.time.Duration;
 import java.util.ArrayList;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerEntry.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.directory;
+package org.mangoridge.dispatch.directory;
 
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.AvailabilityZone;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/ServerStage.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerStage.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.directory;
+package org.mangoridge.dispatch.directory;
 
 /** The stage of model requests that a server processes. */
 public enum ServerStage {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/directory/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/package-info.java
@@ -1,2 +1,2 @@
 /** The known servers, from the platform's store and from the observations of this instance. */
-package org.mangoridge.gateway.directory;
+package org.mangoridge.dispatch.directory;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/FeedFailure.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/FeedFailure.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.follow;
+package org.mangoridge.dispatch.follow;
 
 /**
  * The reason why a read from the store failed.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.follow;
+package org.mangoridge.dispatch.follow;
 
 import java.time.Duration;
 import java.util.ArrayList;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/follow/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/package-info.java
@@ -1,2 +1,2 @@
 /** Tracks the objects of a store by list and watch. */
-package org.mangoridge.gateway.follow;
+package org.mangoridge.dispatch.follow;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RetryDecision.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/RetryDecision.java
@@ -1,13 +1,12 @@
-package org.mangoridge.gateway.exchange;
+package org.mangoridge.dispatch.request;
 
 import org.mangoridge.core.verdict.Verdict;
-import org.mangoridge.gateway.request.RetryPolicy;
 
 /** Decides whether a request may be sent to another server. */
-final class RetryDecision {
+public final class RetryDecision {
 
     /** Maximum number of times that a request is sent, whether or not it is executed; more would only add load. */
-    static final int MAX_SENDS = 3;
+    public static final int MAX_SENDS = 3;
 
     private RetryDecision() {}
 
@@ -20,7 +19,7 @@
      * @param sends the number of times that it has been sent so far
      * @param maxRuns the maximum number of servers that may execute it
      */
-    static boolean mayRetry(RetryPolicy policy, Verdict last, int runs, int sends, int maxRuns) {
+    public static boolean mayRetry(RetryPolicy policy, Verdict last, int runs, int sends, int maxRuns) {
         if (sends >= MAX_SENDS) {
             return false;
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/RetryPolicy.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/RetryPolicy.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.request;
+package org.mangoridge.dispatch.request;
 
 /** Specifies whether a request may be retried after a server may have started to execute it. */
 public enum RetryPolicy {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/ServerReply.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.request;
+package org.mangoridge.dispatch.request;
 
 import java.util.Optional;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/package-info.java
@@ -1,2 +1,2 @@
 /** Requests and server responses, independent of the header and body fields that carry them. */
-package org.mangoridge.gateway.request;
+package org.mangoridge.dispatch.request;
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/AdmissionQueueTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/AdmissionQueueTest.java
@@ -1,10 +1,10 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.mangoridge.gateway.balance.AdmissionQueue.Waiter;
+import org.mangoridge.dispatch.balance.AdmissionQueue.Waiter;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineBalancerTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/EngineFixture.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,10 +9,10 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.config.EngineSpec;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
-import org.mangoridge.gateway.request.TokenDemand;
+import org.mangoridge.dispatch.config.EngineSpec;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.request.TokenDemand;
 
 /** Model servers of one service and the balancer of an instance in zone {@code a}, on virtual time. */
 final class EngineFixture {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/LoadTrackerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/LoadTrackerTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.balance.LoadTracker.Urgency;
+import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/balance/PlainBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.balance;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 import java.util.List;
@@ -10,8 +10,8 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/RetryDecisionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/request/RetryDecisionTest.java
@@ -1,9 +1,8 @@
-package org.mangoridge.gateway.exchange;
+package org.mangoridge.dispatch.request;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.verdict.Verdict;
-import org.mangoridge.gateway.request.RetryPolicy;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -12,15 +12,15 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.core.verdict.Verdict;
-import org.mangoridge.gateway.balance.ServerLoad;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.request.Attempt;
+import org.mangoridge.dispatch.request.AttemptWork;
+import org.mangoridge.dispatch.request.RetryPolicy;
+import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
-import org.mangoridge.gateway.request.Attempt;
-import org.mangoridge.gateway.request.AttemptWork;
-import org.mangoridge.gateway.request.RetryPolicy;
-import org.mangoridge.gateway.request.ServerReply;
 
 /**
  * Executes a request at a decode server and forwards its events to the caller.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ForwardHeaders.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ForwardHeaders.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import org.mangoridge.gateway.request.WireDialect;
 
 /** Copies the headers of a forwarded message, without hop-by-hop headers. */
 final class ForwardHeaders {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -7,16 +7,15 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.gateway.balance.EngineBalancer;
-import org.mangoridge.gateway.balance.LoadTracker;
-import org.mangoridge.gateway.balance.PlainBalancer;
-import org.mangoridge.gateway.balance.PrefillTimeEstimator;
-import org.mangoridge.gateway.balance.RetryBudget;
-import org.mangoridge.gateway.balance.ServerHealthTracker;
-import org.mangoridge.gateway.directory.ServerDirectory;
+import org.mangoridge.dispatch.balance.EngineBalancer;
+import org.mangoridge.dispatch.balance.LoadTracker;
+import org.mangoridge.dispatch.balance.PlainBalancer;
+import org.mangoridge.dispatch.balance.PrefillTimeEstimator;
+import org.mangoridge.dispatch.balance.RetryBudget;
+import org.mangoridge.dispatch.balance.ServerHealthTracker;
+import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.net.UpstreamPool;
-import org.mangoridge.gateway.request.WireDialect;
 
 /**
  * The components that all requests of an instance share; used on its event loop.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -16,11 +16,13 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
-import org.mangoridge.gateway.balance.EnginePlacement;
-import org.mangoridge.gateway.config.EngineSpec;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.request.AttemptWork;
-import org.mangoridge.gateway.request.RetryPolicy;
+import org.mangoridge.dispatch.balance.EnginePlacement;
+import org.mangoridge.dispatch.balance.QueueDeadlines;
+import org.mangoridge.dispatch.config.EngineSpec;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.request.AttemptWork;
+import org.mangoridge.dispatch.request.RetryDecision;
+import org.mangoridge.dispatch.request.RetryPolicy;
 
 /**
  * Serves one model request: places it, runs prefill and decode, and forwards the events to the caller.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -6,11 +6,12 @@
 import java.util.Optional;
 
 import org.mangoridge.core.id.ServiceId;
-import org.mangoridge.gateway.balance.AdmissionQueue;
-import org.mangoridge.gateway.balance.AdmissionQueue.Waiter;
-import org.mangoridge.gateway.balance.EnginePlacement;
-import org.mangoridge.gateway.balance.RetryAfterPolicy;
-import org.mangoridge.gateway.config.Route;
+import org.mangoridge.dispatch.balance.AdmissionQueue;
+import org.mangoridge.dispatch.balance.AdmissionQueue.Waiter;
+import org.mangoridge.dispatch.balance.EnginePlacement;
+import org.mangoridge.dispatch.balance.QueueDeadlines;
+import org.mangoridge.dispatch.balance.RetryAfterPolicy;
+import org.mangoridge.dispatch.config.Route;
 
 /** Queues requests of model services until a server has capacity for them. */
 final class ModelQueue {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -13,17 +13,17 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.gateway.balance.PrefillTimeEstimator;
-import org.mangoridge.gateway.balance.ServerLoad;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.balance.PrefillTimeEstimator;
+import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.request.Attempt;
+import org.mangoridge.dispatch.request.AttemptWork;
+import org.mangoridge.dispatch.request.PrefillResponse;
+import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
 import org.mangoridge.gateway.net.UpstreamRequest;
-import org.mangoridge.gateway.request.Attempt;
-import org.mangoridge.gateway.request.AttemptWork;
-import org.mangoridge.gateway.request.PrefillResponse;
-import org.mangoridge.gateway.request.ServerReply;
 
 /** Runs the prefill of a request at a prefill server and keeps track of the resulting KV cache. */
 final class PrefillStep implements CallListener {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RefusalWriter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RefusalWriter.java
@@ -16,7 +16,6 @@
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.gateway.net.CallerExchange;
-import org.mangoridge.gateway.request.WireDialect;
 
 /** Writes the responses with which the instance itself refuses a request. */
 final class RefusalWriter {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReleaseListener.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReleaseListener.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -14,12 +14,12 @@
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
-import org.mangoridge.gateway.config.GatewayConfig;
-import org.mangoridge.gateway.config.Route;
-import org.mangoridge.gateway.config.ServiceSpec;
+import org.mangoridge.dispatch.config.GatewayConfig;
+import org.mangoridge.dispatch.config.Route;
+import org.mangoridge.dispatch.config.ServiceSpec;
+import org.mangoridge.dispatch.request.CallerRequest;
 import org.mangoridge.gateway.net.CallerExchange;
 import org.mangoridge.gateway.net.RequestHandler;
-import org.mangoridge.gateway.request.CallerRequest;
 
 /** Routes requests to their services under the configuration in force at that moment; used on the event loop. */
 public final class RequestRouter implements RequestHandler {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -15,11 +15,11 @@
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
-import org.mangoridge.gateway.config.Route;
+import org.mangoridge.dispatch.config.Route;
+import org.mangoridge.dispatch.request.Attempt;
+import org.mangoridge.dispatch.request.CallerRequest;
 import org.mangoridge.gateway.net.CallerExchange;
 import org.mangoridge.gateway.net.UpstreamRequest;
-import org.mangoridge.gateway.request.Attempt;
-import org.mangoridge.gateway.request.CallerRequest;
 
 /** The state of one request while it is served: its route, its deadline and whether it may have been executed. */
 final class RequestScope {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -13,12 +13,12 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
 import org.mangoridge.gateway.net.UpstreamRequest;
-import org.mangoridge.gateway.request.ServerReply;
 
 /**
  * Reserves capacity for a request at a decode server before its prefill starts.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/request/WireDialect.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
@@ -1,4 +1,4 @@
-package org.mangoridge.gateway.request;
+package org.mangoridge.gateway.exchange;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -8,6 +8,10 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.request.Attempt;
+import org.mangoridge.dispatch.request.CallerRequest;
+import org.mangoridge.dispatch.request.PrefillResponse;
+import org.mangoridge.dispatch.request.ServerReply;
 
 /**
  * Translates between HTTP messages and the gateway's model of requests and responses.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -16,7 +16,7 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.ServerLoad;
 import org.mangoridge.gateway.thrift.LoadBatch;
 import org.mangoridge.gateway.thrift.LoadMessage;
 import org.mangoridge.gateway.thrift.ServerShare;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -14,8 +14,8 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.LoadTracker.Urgency;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
+import org.mangoridge.dispatch.balance.ServerLoad;
 
 /**
  * The gossip protocol for load reports: decides which reports are sent where and when. Does no I/O; not thread-safe.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -22,8 +22,8 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
-import org.mangoridge.gateway.balance.LoadTracker;
-import org.mangoridge.gateway.balance.LoadTracker.Urgency;
+import org.mangoridge.dispatch.balance.LoadTracker;
+import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 import org.mangoridge.gateway.log.EventSink;
 
 /** Sends and receives load reports over UDP on behalf of {@link LoadGossip}; confined to one event loop. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
@@ -7,7 +7,7 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.ServerLoad;
 
 /**
  * The load and state that one instance reports to its peers.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/PeerTable.java
@@ -14,7 +14,7 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.ServerLoad;
 
 /**
  * The membership table: live instances and the addresses at which others may be found. Not thread-safe.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontState.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontState.java
@@ -1,6 +1,6 @@
 package org.mangoridge.gateway.net;
 
-import org.mangoridge.gateway.config.CallerLimits;
+import org.mangoridge.dispatch.config.CallerLimits;
 
 /** The state of the instance that the connections of callers depend on. */
 public interface FrontState {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ConfigEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ConfigEvents.java
@@ -5,10 +5,10 @@
 
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.gateway.config.GatewayConfig;
+import org.mangoridge.dispatch.config.GatewayConfig;
+import org.mangoridge.dispatch.follow.FeedListener;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.RequestRouter;
-import org.mangoridge.gateway.follow.FeedListener;
 import org.mangoridge.gateway.log.EventSink;
 
 /** Adopts each configuration that the store delivers; one that is removed from the store stays in force. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
@@ -1,8 +1,8 @@
 package org.mangoridge.gateway.node;
 
-import org.mangoridge.gateway.config.GatewayConfig;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.follow.ObjectFeed;
+import org.mangoridge.dispatch.config.GatewayConfig;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.follow.ObjectFeed;
 import org.mangoridge.gateway.stage.LeaseStore;
 import org.mangoridge.gateway.stage.StageOrderSender;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -9,9 +9,9 @@
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.follow.FeedListener;
 import org.mangoridge.gateway.exchange.GatewayContext;
-import org.mangoridge.gateway.follow.FeedListener;
 
 /** Updates the server directory from the store and logs the changes. */
 final class ServerEvents implements FeedListener<ServerEntry> {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageChange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageChange.java
@@ -1,7 +1,7 @@
 package org.mangoridge.gateway.stage;
 
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 /**
  * A stage change that a server should make.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageOrder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageOrder.java
@@ -2,8 +2,8 @@
 
 import org.mangoridge.core.id.FencingToken;
 import org.mangoridge.core.id.InstanceId;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 /**
  * An order to a server to change its stage.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageOrderScheduler.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageOrderScheduler.java
@@ -9,8 +9,8 @@
 
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 import org.mangoridge.orders.lease.Tenure;
 
 /**
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageRebalancer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageRebalancer.java
@@ -8,8 +8,8 @@
 import java.util.stream.Collectors;
 
 import org.mangoridge.core.id.AvailabilityZone;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 /**
  * Decides which server of a model service should change its stage; stateless.
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -16,8 +16,8 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.LoadTracker;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.LoadTracker;
+import org.mangoridge.dispatch.balance.ServerLoad;
 
 /** Simulates a fleet of instances that gossip load reports, in virtual time over a simulated network. */
 final class GossipFleet {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -8,7 +8,7 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.balance.ServerLoad;
+import org.mangoridge.dispatch.balance.ServerLoad;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.VirtualClock;
-import org.mangoridge.gateway.config.CallerLimits;
+import org.mangoridge.dispatch.config.CallerLimits;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageOrderSchedulerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageOrderSchedulerTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.id.FencingToken;
 import org.mangoridge.core.id.InstanceId;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 import org.mangoridge.orders.lease.Tenure;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageRebalancerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageRebalancerTest.java
@@ -11,8 +11,8 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.gateway.directory.ServerEntry;
-import org.mangoridge.gateway.directory.ServerStage;
+import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerStage;
 
 import static com.google.common.truth.Truth.assertThat;
 
