Follow the era of the store: survive its return from an older copy

Cause: the store may come back from a copy; revisions go back and are given out again. A follower kept watching from a revision that the store lacks or has reused, a drained or departed server was listed as ready again, a lost lease went on and its fencing token could be given to the next holder, and a write in flight could succeed on a reused version. Fencing tokens start above 2^32 times the era. Entries older than the known one, returns from draining and runs that departed change nothing. Load reports carry the era, and revisions of other eras aren't compared.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -67,6 +67,8 @@
     PLATFORM_UNAVAILABLE(501, Level.WARNING, "platform unavailable"),
     /** The platform answers again. */
     PLATFORM_BACK(502, Level.INFO, "platform back"),
+    /** The platform's store was restored from a copy and has lost its newest writes. */
+    PLATFORM_RESTORED(503, Level.WARNING, "platform restored"),
     /** Another instance joined or came back. */
     PEER_JOINED(601, Level.INFO, "peer joined"),
     /** Another instance did not answer a probe. */
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/RetryBudget.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/RetryBudget.java
@@ -21,7 +21,7 @@
     private static final double SPLIT_FRACTION = 0.8;
 
     private final double ratio;
-    private final int fixedAllowance;
+    private final double fixedAllowance;
     private final Duration window;
     private final Map<ServiceId, Window> windows = new HashMap<>();
 
@@ -41,7 +41,7 @@
         }
     }
 
-    private RetryBudget(double ratio, int fixedAllowance, Duration window) {
+    private RetryBudget(double ratio, double fixedAllowance, Duration window) {
         Checks.argument(ratio >= 0, "ratio must not be negative");
         Checks.argument(fixedAllowance >= 0, "fixedAllowance must not be negative");
         this.ratio = ratio;
@@ -53,10 +53,10 @@
      * Creates an unused budget.
      *
      * @param ratio retries allowed for each request
-     * @param fixedAllowance further retries allowed to all instances together in a window
+     * @param fixedAllowance further retries allowed to all instances together in a window, on average
      * @param window the length of the window
      */
-    public static RetryBudget create(double ratio, int fixedAllowance, Duration window) {
+    public static RetryBudget create(double ratio, double fixedAllowance, Duration window) {
         return new RetryBudget(ratio, fixedAllowance, window);
     }
 
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,19 +20,31 @@
  * <p>An entry can disappear from the store because its server left, or because it expired during an outage of the store.
  * When the store is reachable again, entries that disappear within {@link #RELISTING_GRACE} are kept until the end of
  * that time; at any other time, a server whose entry disappears is removed at once.
+ *
+ * <p>A store that was restored from a copy lists entries as they were before: servers that drain as ready, and servers
+ * that have left. Such entries change nothing; a run of a server that drains or has left is not used again unless it
+ * writes a newer entry.
  */
 public final class ServerDirectory {
 
     /** Time for live servers to be listed again after an outage of the store; the platform guarantees 2 s. */
     public static final Duration RELISTING_GRACE = Duration.ofMillis(1900);
 
+    /** How long a server that left is remembered; a store is restored from a copy that is some seconds old. */
+    static final Duration DEPARTED_RETENTION = Duration.ofMinutes(5);
+
     private final Map<ServerId, ServerEntry> entries = new HashMap<>();
     private final Map<ServerId, Duration> missingUntil = new HashMap<>();
+    /** The last entries of servers that left, for {@link #DEPARTED_RETENTION}; the oldest first. */
+    private final Map<ServerId, Departed> departed = new LinkedHashMap<>();
+
     private final Map<ServiceId, List<ServerEntry>> usableByService = new HashMap<>();
     private Duration relistingUntil = Duration.ZERO;
     private boolean storeReachable;
     private boolean loaded;
 
+    private record Departed(ServerEntry last, Duration until) {}
+
     private ServerDirectory() {}
 
     /** Creates an empty directory. */
@@ -48,6 +61,12 @@
         storeReachable = reachable;
     }
 
+    /** Records that the store was restored from a copy; live servers whose entries it lost write them again. */
+    public void storeRestored(Duration now) {
+        relistingUntil = now.plus(RELISTING_GRACE);
+        missingUntil.replaceAll((id, until) -> relistingUntil);
+    }
+
     /** Replaces all entries by the listed ones; returns the servers that are no longer usable. */
     public List<ServerEntry> replaceAll(Collection<ServerEntry> listed, Duration now) {
         loaded = true;
@@ -73,20 +92,33 @@
     /**
      * Adds or replaces an entry; returns the server if it is no longer usable.
      *
-     * <p>A delayed entry of an earlier run under the same id is ignored.
+     * <p>An entry that was written before the known one is ignored, and a run that drains does not become usable again.
      */
     public Optional<ServerEntry> put(ServerEntry entry) {
         ServerEntry before = entries.get(entry.id());
-        if (before != null && entry.startedMillis() < before.startedMillis()) {
+        if (before == null && isDeparted(entry)) {
             return Optional.empty();
         }
         missingUntil.remove(entry.id());
+        if (before != null && (entry.isOlderThan(before) || isReturnFromDraining(entry, before))) {
+            return Optional.empty();
+        }
+        departed.remove(entry.id());
         entries.put(entry.id(), entry);
         usableByService.clear();
         boolean ceased = before != null && !before.leaving() && entry.leaving();
         return ceased ? Optional.of(entry) : Optional.empty();
     }
 
+    private boolean isDeparted(ServerEntry entry) {
+        Departed known = departed.get(entry.id());
+        return known != null && entry.isNotNewerThan(known.last());
+    }
+
+    private static boolean isReturnFromDraining(ServerEntry entry, ServerEntry before) {
+        return before.leaving() && !entry.leaving() && entry.startedMillis() == before.startedMillis();
+    }
+
     /** Handles the removal of an entry from the store; returns the server if it is removed now. */
     public Optional<ServerEntry> remove(ServerId id, Duration now) {
         ServerEntry entry = entries.get(id);
@@ -97,6 +129,7 @@
             missingUntil.putIfAbsent(id, relistingUntil);
             return Optional.empty();
         }
+        departed.put(id, new Departed(entry, now.plus(DEPARTED_RETENTION)));
         return drop(id);
     }
 
@@ -109,6 +142,7 @@
 
     /** Removes and returns the servers whose entries disappeared and were not listed again in time. */
     public List<ServerEntry> expire(Duration now) {
+        departed.values().removeIf(each -> now.compareTo(each.until()) >= 0);
         List<ServerEntry> gone = new ArrayList<>();
         for (Map.Entry<ServerId, Duration> each : List.copyOf(missingUntil.entrySet())) {
             if (now.compareTo(each.getValue()) >= 0) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
@@ -17,6 +17,7 @@
  * @param leaving whether it drains and accepts no new requests
  * @param stage its stage in serving model requests
  * @param startedMillis when it started, as Unix milliseconds; a later run under the same id has none of the state of this one
+ * @param sequence increases with each entry that this run writes; {@link #UNKNOWN_SEQUENCE} if the entry states none
  */
 public record ServerEntry(
         ServerId id,
@@ -26,7 +27,11 @@
         int slots,
         boolean leaving,
         ServerStage stage,
-        long startedMillis) {
+        long startedMillis,
+        long sequence) {
+
+    /** The sequence of an entry that does not state one. */
+    public static final long UNKNOWN_SEQUENCE = -1;
 
     public ServerEntry {
         Checks.notNull(id, "id");
@@ -39,6 +44,20 @@
 
     /** Returns a copy with another stage. */
     public ServerEntry withStage(ServerStage other) {
-        return new ServerEntry(id, service, address, zone, slots, leaving, other, startedMillis);
+        return new ServerEntry(id, service, address, zone, slots, leaving, other, startedMillis, sequence);
+    }
+
+    /** Tells whether this entry was written before {@code other}, by the same run or an earlier one. */
+    boolean isOlderThan(ServerEntry other) {
+        if (startedMillis != other.startedMillis) {
+            return startedMillis < other.startedMillis;
+        }
+        return sequence != UNKNOWN_SEQUENCE && sequence < other.sequence;
+    }
+
+    /** Tells whether this entry is {@code other}, or was written before it. */
+    boolean isNotNewerThan(ServerEntry other) {
+        boolean sameWrite = startedMillis == other.startedMillis && sequence == other.sequence;
+        return sameWrite || isOlderThan(other);
     }
 }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -79,6 +79,13 @@
         list(Optional.empty(), epoch);
     }
 
+    /** Lists the objects of a store that was restored from a copy, whose revisions have gone back. */
+    public void storeRestored() {
+        revision = -1;
+        newestChange = -1;
+        restart();
+    }
+
     /** Returns the revision up to which all changes are known; -1 before the first list. */
     public long revision() {
         return revision;
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
@@ -38,7 +38,8 @@
                 16,
                 false,
                 stage,
-                1));
+                1,
+                ServerEntry.UNKNOWN_SEQUENCE));
         return this;
     }
 
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/KvMemorySimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/KvMemorySimulation.java
@@ -83,7 +83,8 @@
                 shape.slots(),
                 false,
                 stage,
-                1);
+                1,
+                ServerEntry.UNKNOWN_SEQUENCE);
     }
 
     /** Runs for {@code duration} with {@code perSecond} arrivals. */
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
@@ -35,7 +35,8 @@
                 SLOTS,
                 false,
                 ServerStage.NONE,
-                1);
+                1,
+                ServerEntry.UNKNOWN_SEQUENCE);
     }
 
     private String choice(Set<ServerId> tried) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -5,6 +5,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
@@ -22,6 +24,10 @@
     private final ServerDirectory directory = ServerDirectory.create();
 
     static ServerEntry entry(String id, boolean leaving, long startedMillis) {
+        return entry(id, leaving, startedMillis, ServerEntry.UNKNOWN_SEQUENCE);
+    }
+
+    private static ServerEntry entry(String id, boolean leaving, long startedMillis, long sequence) {
         return new ServerEntry(
                 ServerId.of(id),
                 SERVICE,
@@ -30,7 +36,8 @@
                 6,
                 leaving,
                 ServerStage.NONE,
-                startedMillis);
+                startedMillis,
+                sequence);
     }
 
     @BeforeEach
@@ -89,4 +96,46 @@
         directory.put(entry("s-1", false, 4));
         assertThat(usable()).containsExactly("s-2");
     }
+
+    @Test
+    void aServerThatLeftBeforeARestoreIsNotUsedAgain() {
+        directory.put(entry("s-1", false, 1, 7));
+        directory.remove(ServerId.of("s-1"), AFTER_GRACE);
+        directory.storeRestored(AFTER_GRACE);
+        directory.replaceAll(List.of(entry("s-1", false, 1, 5), entry("s-2", false, 1)), AFTER_GRACE);
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    @Test
+    void aServerThatDrainsBeforeARestoreIsNotUsedAgain() {
+        directory.put(entry("s-1", true, 1, 7));
+        directory.storeRestored(AFTER_GRACE);
+        directory.replaceAll(List.of(entry("s-1", false, 1, 5), entry("s-2", false, 1)), AFTER_GRACE);
+        directory.put(entry("s-1", false, 1, 8));
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    /** The copy lacks a server that was listed after it was made; the server writes its entry again. */
+    @ParameterizedTest
+    @CsvSource({"true, 2", "false, 1"})
+    void aServerThatARestoredStoreLacksHasTimeToWriteAgain(boolean writesAgain, int usableServers) {
+        directory.storeRestored(AFTER_GRACE);
+        directory.replaceAll(List.of(entry("s-2", false, 1)), AFTER_GRACE);
+        assertThat(usable()).containsExactly("s-1", "s-2");
+        if (writesAgain) {
+            directory.put(entry("s-1", false, 1));
+        }
+        directory.expire(AFTER_GRACE.plus(ServerDirectory.RELISTING_GRACE));
+        assertThat(usable()).hasSize(usableServers);
+    }
+
+    /** A server whose entry expired, such as one that was cut off from the store, comes back with a newer entry. */
+    @ParameterizedTest
+    @CsvSource({"1, 8", "2, 1", "1, -1"})
+    void aServerWithANewerEntryComesBack(long startedMillis, long sequence) {
+        directory.put(entry("s-1", false, 1, 7));
+        directory.remove(ServerId.of("s-1"), AFTER_GRACE);
+        directory.put(entry("s-1", false, startedMillis, sequence));
+        assertThat(usable()).containsExactly("s-1", "s-2");
+    }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
@@ -162,4 +162,16 @@
         earlier.accept(Result.ok(new FeedChanges<>(List.of(new FeedChanges.Change.Put<>("late")), 9, 9)));
         assertThat(listener.items).containsExactly("a");
     }
+
+    /** A restored store gives out revisions again, so that a watch from a known one would miss changes. */
+    @Test
+    void aRestoredStoreIsListedAnew() {
+        listed(9, "a", "b");
+        follower.storeRestored();
+        assertThat(follower.newestChange()).isEqualTo(-1);
+        feed.list.accept(Result.ok(new FeedPage<>(List.of("a"), Optional.empty(), 4, 3)));
+        assertThat(listener.items).containsExactly("a");
+        assertThat(follower.revision()).isEqualTo(4);
+        assertThat(feed.calls.getLast()).isEqualTo("watch 4");
+    }
 }
--- a/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/LeaseStore.java
+++ b/mangoridge-entry/src/main/java/org/mangoridge/entry/orders/LeaseStore.java
@@ -15,6 +15,9 @@
 /** Reads and writes one lease in the object store of the platform; calls block. */
 final class LeaseStore {
 
+    /** The object store names no eras: its interface has no restores. */
+    private static final long NO_ERA = 0;
+
     private final ObjectStore store;
     private final ObjectKey key;
 
@@ -36,7 +39,7 @@
         return switch (store.read(key)) {
             case Result.Err<Optional<StoredObject>, StoreFailure> err -> new LeaseEvent.ReadFailed();
             case Result.Ok<Optional<StoredObject>, StoreFailure> ok
-            when ok.value().isEmpty() -> new LeaseEvent.LeaseRead(Optional.empty());
+            when ok.value().isEmpty() -> new LeaseEvent.LeaseRead(Optional.empty(), NO_ERA);
             case Result.Ok<Optional<StoredObject>, StoreFailure> ok ->
                 decode(ok.value().get());
         };
@@ -45,7 +48,8 @@
     private static LeaseEvent decode(StoredObject object) {
         Result<LeaseRecord, String> record = Json.read(object.value(), LeaseRecord.class);
         return record.isOk()
-                ? new LeaseEvent.LeaseRead(Optional.of(new LeaseEvent.StoredLease(record.value(), object.version())))
+                ? new LeaseEvent.LeaseRead(
+                        Optional.of(new LeaseEvent.StoredLease(record.value(), object.version())), NO_ERA)
                 : new LeaseEvent.ReadFailed();
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -47,18 +47,19 @@
         List<String> peers = report.peers().stream().map(HostPort::toString).toList();
         LoadReport.Origin origin = report.origin();
         return write(new LoadMessage(
-                origin.instance().value(),
-                origin.startedMillis(),
-                report.sequence(),
-                shares,
-                peers,
-                report.storeVersions().configVersion(),
-                report.leaving(),
-                origin.address().toString(),
-                origin.zone().value(),
-                origin.milliCores(),
-                report.relaying(),
-                report.storeVersions().serversRevision()));
+                        origin.instance().value(),
+                        origin.startedMillis(),
+                        report.sequence(),
+                        shares,
+                        peers,
+                        report.storeVersions().configVersion(),
+                        report.leaving(),
+                        origin.address().toString(),
+                        origin.zone().value(),
+                        origin.milliCores(),
+                        report.relaying(),
+                        report.storeVersions().serversRevision())
+                .setStoreEra(report.storeVersions().era()));
     }
 
     static byte[] encodeBatch(List<byte[]> reports, boolean passOn) {
@@ -114,7 +115,8 @@
                     message.getSequence(),
                     loads,
                     message.getPeers().stream().map(this::parseAddress).toList(),
-                    new LoadReport.StoreVersions(message.getConfigVersion(), message.getServersRevision()),
+                    new LoadReport.StoreVersions(
+                            message.getStoreEra(), message.getConfigVersion(), message.getServersRevision()),
                     message.isRelaying(),
                     message.isLeaving()));
         } catch (TException | IllegalArgumentException e) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
@@ -37,16 +37,22 @@
     /**
      * The versions of stored data that an instance has.
      *
+     * @param era the era of the store that the revision belongs to; zero if the store names none
      * @param configVersion the version of its configuration, -1 if it has none
      * @param serversRevision the store revision of the newest server change that it knows, -1 if it knows none
      */
-    public record StoreVersions(long configVersion, long serversRevision) {
+    public record StoreVersions(long era, long configVersion, long serversRevision) {
 
-        static final StoreVersions NONE = new StoreVersions(-1, -1);
+        static final StoreVersions NONE = new StoreVersions(0, -1, -1);
 
         StoreVersions max(StoreVersions other) {
+            if (era != other.era) {
+                return era > other.era ? this : other;
+            }
             return new StoreVersions(
-                    Math.max(configVersion, other.configVersion), Math.max(serversRevision, other.serversRevision));
+                    era,
+                    Math.max(configVersion, other.configVersion),
+                    Math.max(serversRevision, other.serversRevision));
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangoridge.core.Result;
 
@@ -15,15 +16,17 @@
     private final Consumer<Result<Response, CallFailure>> callback;
     private final ByteBuf body = Unpooled.buffer(1024);
     private int status;
+    private HttpHeaders headers;
     private boolean overflow;
 
     /**
      * A complete response.
      *
      * @param status the HTTP status
+     * @param headers the headers
      * @param body the body
      */
-    public record Response(int status, byte[] body) {}
+    public record Response(int status, HttpHeaders headers, byte[] body) {}
 
     private BodyCollector(int maxBytes, Consumer<Result<Response, CallFailure>> callback) {
         this.maxBytes = maxBytes;
@@ -38,6 +41,7 @@
     @Override
     public boolean head(HttpResponse head) {
         status = head.status().code();
+        headers = head.headers();
         return true;
     }
 
@@ -57,7 +61,7 @@
             callback.accept(Result.err(new CallFailure(
                     org.mangoridge.core.verdict.AttemptProgress.ANSWER_RECEIVED, false, "response body is too large")));
         } else {
-            callback.accept(Result.ok(new Response(status, bytes)));
+            callback.accept(Result.ok(new Response(status, headers, bytes)));
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
@@ -3,6 +3,7 @@
 import org.mangoridge.dispatch.config.GatewayConfig;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.follow.ObjectFeed;
+import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.gateway.stage.LeaseStore;
 import org.mangoridge.gateway.stage.StageOrderSender;
 
@@ -13,9 +14,11 @@
  * @param servers feed of the server entries
  * @param orders sends stage orders to servers
  * @param lease stores the lease whose holder may send orders
+ * @param era the era of the store
  */
 public record GatewayFeeds(
         ObjectFeed<GatewayConfig> configs,
         ObjectFeed<ServerEntry> servers,
         StageOrderSender orders,
-        LeaseStore lease) {}
+        LeaseStore lease,
+        StoreEra era) {}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -24,6 +24,7 @@
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.follow.Follower;
+import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.RequestRouter;
@@ -79,6 +80,7 @@
     private final Follower<ServerEntry> serverFollower;
     private final ServerEvents serverEvents;
     private final StageController stages;
+    private final StoreEra era;
     private final CountDownLatch terminated = new CountDownLatch(1);
     private Duration lastTick;
     private Duration lastSweep = Duration.ZERO;
@@ -102,28 +104,9 @@
         this.shutdownPlan = ShutdownPlan.of(settings.grace());
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
-        UpstreamPool pool = UpstreamPool.create(loop, clock);
-        ServerDirectory directory = ServerDirectory.create();
-        LoadTracker loads = LoadTracker.create();
-        ServerHealthTracker tracks = ServerHealthTracker.create();
-        PrefillTimeEstimator pace = PrefillTimeEstimator.create();
-        RetryBudget budget =
-                RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
-        this.context = new GatewayContext(
-                loop,
-                clock,
-                random,
-                dialect,
-                pool,
-                directory,
-                loads,
-                tracks,
-                pace,
-                budget,
-                PlainBalancer.create(loads, tracks, settings.zone(), random),
-                EngineBalancer.create(loads, tracks, pace, settings.zone()),
-                GatewayMetrics.create(),
-                log);
+        this.context = createContext(settings, loop, clock, random, log, dialect);
+        UpstreamPool pool = context.pool();
+        LoadTracker loads = context.loads();
         this.router = RequestRouter.create(context);
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
         this.loadGossip = LoadGossipTransport.create(
@@ -146,13 +129,52 @@
         this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
         GatewayFeeds feeds = feedFactory.apply(loop, pool);
         this.stages = StageController.create(
-                settings.instance(), settings.handoverDelay(), clock, log, loads, feeds.orders(), feeds.lease());
+                settings.instance(),
+                settings.handoverDelay(),
+                clock,
+                log,
+                loads,
+                feeds.orders(),
+                feeds.lease(),
+                feeds.era());
+        this.era = feeds.era();
         this.serverEvents = new ServerEvents(context, router::placeWaitingRequests);
         this.serverFollower = Follower.create(feeds.servers(), serverEvents, SERVER_DELAY, this::defer, random);
         this.configFollower = Follower.create(
                 feeds.configs(), new ConfigEvents(router, log, context.metrics()), CONFIG_DELAY, this::defer, random);
     }
 
+    private static GatewayContext createContext(
+            GatewaySettings settings,
+            EventLoop loop,
+            Clock clock,
+            RandomGenerator random,
+            EventSink log,
+            WireDialect dialect) {
+        UpstreamPool pool = UpstreamPool.create(loop, clock);
+        ServerDirectory directory = ServerDirectory.create();
+        LoadTracker loads = LoadTracker.create();
+        ServerHealthTracker tracks = ServerHealthTracker.create();
+        PrefillTimeEstimator pace = PrefillTimeEstimator.create();
+        RetryBudget budget =
+                RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
+        return new GatewayContext(
+                loop,
+                clock,
+                random,
+                dialect,
+                pool,
+                directory,
+                loads,
+                tracks,
+                pace,
+                budget,
+                PlainBalancer.create(loads, tracks, settings.zone(), random),
+                EngineBalancer.create(loads, tracks, pace, settings.zone()),
+                GatewayMetrics.create(),
+                log);
+    }
+
     /**
      * Returns an instance that is not started yet.
      *
@@ -194,6 +216,7 @@
                 this::safeTick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         configFollower.restart();
         serverFollower.restart();
+        era.onRestore(this::storeRestored);
     }
 
     private void defer(Duration delay, Runnable task) {
@@ -206,6 +229,10 @@
      */
     private void catchUpWithPeers() {
         LoadReport.StoreVersions newest = peers.newestVersions();
+        if (newest.era() != era.current()) {
+            // Revisions of different eras can't be compared, and the next answer of the store shows its era.
+            return;
+        }
         long config = newest.configVersion();
         if (config > configVersion() && config > requestedConfigVersion) {
             requestedConfigVersion = config;
@@ -226,12 +253,21 @@
         }
     }
 
+    private void storeRestored(long newEra) {
+        log.log(LogEvent.PLATFORM_RESTORED, Field.of("era", newEra), Field.of("config", configVersion()));
+        requestedServersRevision = -1;
+        serverEvents.storeRestored();
+        stages.storeRestored();
+        configFollower.storeRestored();
+        serverFollower.storeRestored();
+    }
+
     private long configVersion() {
         return router.config().map(GatewayConfig::version).orElse(-1L);
     }
 
     private LoadReport.StoreVersions storeVersions() {
-        return new LoadReport.StoreVersions(configVersion(), serverFollower.newestChange());
+        return new LoadReport.StoreVersions(era.current(), configVersion(), serverFollower.newestChange());
     }
 
     /** Logs failures of a tick; the event loop does not repeat a task that throws, and all timeouts depend on the tick. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -39,7 +39,7 @@
         int milliCores,
         int maxDescriptors,
         double retryRatio,
-        int retryAllowance,
+        double retryAllowance,
         Duration retryWindow,
         Duration handoverDelay,
         Duration grace) {
@@ -50,6 +50,10 @@
         Checks.argument(memoryBytes > 0, "memory must be positive: %d", memoryBytes);
         Checks.argument(milliCores > 0, "processor time must be positive: %d", milliCores);
         Checks.argument(maxDescriptors > 0, "descriptors must be positive: %d", maxDescriptors);
+        Checks.argument(retryRatio >= 0, "retry ratio must not be negative: %s", retryRatio);
+        Checks.argument(retryAllowance >= 0, "retry allowance must not be negative: %s", retryAllowance);
+        Checks.argument(retryWindow.isPositive(), "retry window must be positive: %s", retryWindow);
+        Checks.argument(!handoverDelay.isNegative(), "handover delay must not be negative: %s", handoverDelay);
         Checks.argument(grace.isPositive(), "grace must be positive: %s", grace);
         seeds = List.copyOf(seeds);
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Keeps servers whose entries the store lost when it was restored, until they had time to write them again. */
+    void storeRestored() {
+        context.directory().storeRestored(context.clock().elapsed());
+    }
+
     /** Removes servers whose entries have been missing from the store for too long. */
     void expire(Duration now) {
         context.directory().expire(now).forEach(this::handleUnusable);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageController.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageController.java
@@ -14,6 +14,7 @@
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.orders.lease.LeaseAction;
 import org.mangoridge.orders.lease.LeaseEvent;
@@ -34,6 +35,7 @@
     private final LoadTracker loads;
     private final StageOrderSender sender;
     private final LeaseStore store;
+    private final StoreEra era;
     private final LeaseMachine lease;
     private final StageOrderScheduler scheduler;
     private Optional<Tenure> loggedTenure = Optional.empty();
@@ -45,12 +47,14 @@
             EventSink log,
             LoadTracker loads,
             StageOrderSender sender,
-            LeaseStore store) {
+            LeaseStore store,
+            StoreEra era) {
         this.clock = clock;
         this.log = log;
         this.loads = loads;
         this.sender = sender;
         this.store = store;
+        this.era = era;
         Duration duration = holderSeparation.multipliedBy(LEASE_FACTOR);
         LeaseTiming terms = new LeaseTiming(
                 duration,
@@ -75,8 +79,9 @@
             EventSink log,
             LoadTracker loads,
             StageOrderSender sender,
-            LeaseStore store) {
-        return new StageController(self, holderSeparation, clock, log, loads, sender, store);
+            LeaseStore store,
+            StoreEra era) {
+        return new StageController(self, holderSeparation, clock, log, loads, sender, store, era);
     }
 
     /**
@@ -100,6 +105,11 @@
         scheduler.nextOrder(known, this::load, lease.tenure(now), now).ifPresent(this::send);
     }
 
+    /** Gives up the lease, which the store may have lost when it was restored. */
+    public void storeRestored() {
+        handle(new LeaseEvent.StoreRestored());
+    }
+
     private long load(ServerEntry server) {
         return loads.total(server.id()).kvTokens();
     }
@@ -110,7 +120,7 @@
                 store.read(answer -> handle(
                         switch (answer) {
                             case Result.Ok<Optional<LeaseEvent.StoredLease>, String> found ->
-                                new LeaseEvent.LeaseRead(found.value());
+                                new LeaseEvent.LeaseRead(found.value(), era.current());
                             case Result.Err<Optional<LeaseEvent.StoredLease>, String> failure ->
                                 new LeaseEvent.ReadFailed();
                         }));
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -39,6 +39,8 @@
   11: required bool relaying
   /** The store's revision at the newest change of a server that the sender knows, -1 if it knows none. */
   12: required i64 serversRevision
+  /** The era of the store that the revision belongs to; rises when the store is restored from a copy. */
+  13: optional i64 storeEra = 0
 }
 
 /** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -65,7 +65,7 @@
                     AvailabilityZone.of("zone-" + index % zones),
                     360 + index * 37 % 1000);
             table = PeerTable.create(address, seeds, random.split());
-            gossip = LoadGossip.create(origin, table, loads::ownLoads, () -> new LoadReport.StoreVersions(1, 1));
+            gossip = LoadGossip.create(origin, table, loads::ownLoads, () -> new LoadReport.StoreVersions(0, 1, 1));
             loads.onOwnChange(urgency -> {
                 gossip.ownLoadChanged(urgency, now);
                 scheduleTimer();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -26,7 +26,7 @@
                 4,
                 Map.of(ServerId.of("s-1"), new ServerLoad(2, 3000, 9000, 1200)),
                 List.of(new HostPort("10.0.0.1", 7000)),
-                new LoadReport.StoreVersions(12, 530),
+                new LoadReport.StoreVersions(2, 12, 530),
                 true,
                 false);
         byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), LoadCodec.encode(report)), true);
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageControllerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageControllerTest.java
@@ -12,6 +12,7 @@
 import org.mangoridge.core.time.VirtualClock;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.objects.Precondition;
 import org.mangoridge.objects.WriteOutcome;
 import org.mangoridge.orders.lease.LeaseEvent;
@@ -56,7 +57,8 @@
                 sent.add(order);
                 answer.accept(outcome);
             },
-            store);
+            store,
+            StoreEra.create());
 
     private void run(Duration time, boolean candidate) {
         for (Duration at = Duration.ZERO; at.compareTo(time) < 0; at = at.plus(TICK)) {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageRebalancerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageRebalancerTest.java
@@ -27,7 +27,8 @@
                 16,
                 false,
                 stage,
-                1);
+                1,
+                ServerEntry.UNKNOWN_SEQUENCE);
     }
 
     static List<ServerEntry> servers(int prefill, int decode) {
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
@@ -18,8 +18,9 @@
      * The lease was read.
      *
      * @param stored the lease, empty if the store holds none
+     * @param era the era of the store, which rises each time it is restored from a copy; zero if it names none
      */
-    record LeaseRead(Optional<StoredLease> stored) implements LeaseEvent {}
+    record LeaseRead(Optional<StoredLease> stored, long era) implements LeaseEvent {}
 
     /** The lease could not be read. */
     record ReadFailed() implements LeaseEvent {}
@@ -38,6 +39,9 @@
      */
     record FencingSeen(long fencing) implements LeaseEvent {}
 
+    /** The store was restored from a copy and may have lost the lease. */
+    record StoreRestored() implements LeaseEvent {}
+
     /** The instance is shutting down and has no order in progress. */
     record Release() implements LeaseEvent {}
 
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
@@ -27,6 +27,12 @@
      */
     private record PendingWrite(LeaseRecord record, Duration sentAt, boolean isTakeover, boolean previousReleased) {}
 
+    /**
+     * Fencing tokens of one era of the store. A restore loses the newest tokens, so those of the next era start above
+     * all that could have been given in the one before.
+     */
+    private static final int FENCING_BITS_PER_ERA = 32;
+
     private final Owner owner;
     private final LeaseTiming timing;
     private LeaseEvent.StoredLease observed;
@@ -43,6 +49,7 @@
     private Tenure tenure;
     private long highestFencing;
     private boolean releasing;
+    private boolean writeVoided;
 
     private LeaseMachine(Owner owner, LeaseTiming timing) {
         this.owner = owner;
@@ -63,13 +70,14 @@
     public Optional<LeaseAction> on(LeaseEvent event, Duration now) {
         return switch (event) {
             case LeaseEvent.Tick tick -> onTick(tick.candidate(), now);
-            case LeaseEvent.LeaseRead read -> onLeaseRead(read.stored(), now);
+            case LeaseEvent.LeaseRead read -> onLeaseRead(read, now);
             case LeaseEvent.ReadFailed failed -> {
                 reading = false;
                 yield Optional.empty();
             }
             case LeaseEvent.WriteFinished finished -> onWriteFinished(finished.outcome(), now);
             case LeaseEvent.FencingSeen seen -> onFencingSeen(seen.fencing());
+            case LeaseEvent.StoreRestored restored -> onStoreRestored();
             case LeaseEvent.Release release -> onRelease(now);
         };
     }
@@ -110,8 +118,10 @@
         return Optional.of(new LeaseAction.WriteLease(write.record(), condition));
     }
 
-    private Optional<LeaseAction> onLeaseRead(Optional<LeaseEvent.StoredLease> stored, Duration now) {
+    private Optional<LeaseAction> onLeaseRead(LeaseEvent.LeaseRead read, Duration now) {
+        Optional<LeaseEvent.StoredLease> stored = read.stored();
         reading = false;
+        highestFencing = Math.max(highestFencing, read.era() << FENCING_BITS_PER_ERA);
         observe(stored, now);
         if (releasing) {
             return Optional.empty();
@@ -167,6 +177,10 @@
     private Optional<LeaseAction> onWriteFinished(WriteOutcome outcome, Duration now) {
         PendingWrite write = pendingWrite;
         pendingWrite = null;
+        if (writeVoided) {
+            writeVoided = false;
+            return Optional.empty();
+        }
         switch (outcome) {
             case WriteOutcome.Written written -> {
                 leaseAbsent = false;
@@ -217,6 +231,18 @@
         return Optional.empty();
     }
 
+    /**
+     * Gives up the lease. A write in progress counts as not made, since it was conditional on a version that the store
+     * may have given out again; the next read shows what the store holds.
+     */
+    private Optional<LeaseAction> onStoreRestored() {
+        tenure = null;
+        writeInDoubt = null;
+        observed = null;
+        writeVoided = pendingWrite != null;
+        return Optional.empty();
+    }
+
     private Optional<LeaseAction> onRelease(Duration now) {
         releasing = true;
         if (pendingWrite != null || reading || observed == null || tenure(now).isEmpty()) {
--- a/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
+++ b/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
@@ -28,6 +28,7 @@
 
         private LeaseRecord record;
         private long version;
+        private long era;
 
         private Optional<LeaseEvent.StoredLease> read() {
             return record == null ? Optional.empty() : Optional.of(new LeaseEvent.StoredLease(record, version));
@@ -63,7 +64,7 @@
 
     private LeaseEvent answer(LeaseAction action) {
         return switch (action) {
-            case LeaseAction.ReadLease read -> new LeaseEvent.LeaseRead(store.read());
+            case LeaseAction.ReadLease read -> new LeaseEvent.LeaseRead(store.read(), store.era);
             case LeaseAction.WriteLease write -> new LeaseEvent.WriteFinished(store.write(write));
         };
     }
@@ -227,4 +228,32 @@
             default -> answer(action);
         };
     }
+
+    /** The store loses a takeover that it acknowledged; the next holder must not get the same token. */
+    @Test
+    void aFencingTokenIsNotGivenAgainAfterTheStoreWasRestored() {
+        LeaseMachine first = machine("a");
+        run(first, seconds(1));
+        LeaseMachine second = machine("b");
+        long lost = first.tenure(seconds(1)).orElseThrow().fencing().value();
+        store.record = null;
+        store.version = 0;
+        store.era = 1;
+        first.on(new LeaseEvent.StoreRestored(), seconds(2));
+        assertThat(first.tenure(seconds(2))).isEmpty();
+        run(second, seconds(2));
+        assertThat(second.tenure(seconds(2)).orElseThrow().fencing().value()).isGreaterThan(lost);
+    }
+
+    /** The store was restored while a write was in flight, and gave out the version that the write depends on. */
+    @Test
+    void aWriteInFlightDuringARestoreStartsNoTenure() {
+        LeaseMachine machine = machine("a");
+        Optional<LeaseAction> read = machine.on(new LeaseEvent.Tick(true), seconds(1));
+        LeaseAction write = machine.on(answer(read.orElseThrow()), seconds(1)).orElseThrow();
+        LeaseEvent written = answer(write);
+        machine.on(new LeaseEvent.StoreRestored(), seconds(1));
+        machine.on(written, seconds(1));
+        assertThat(machine.tenure(seconds(1))).isEmpty();
+    }
 }
