Leave room to requests on time, avoid zones that are cut off, batch changes by the drain bound

Change: late requests fill 0.8 of a server; two servers of a zone that can't be connected to, with no answer in between, keep requests from that zone for 2 s; the delay that batches server changes is 0.3 of the platform's drain bound.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
@@ -28,8 +28,13 @@
 
     /** Share of the KV cache by which a server in the local zone may be fuller than a remote one and be preferred. */
     private static final double CROSS_ZONE_KV_SHARE = 0.05;
-    /** Fraction of a server's KV cache that is filled; the rest absorbs placements by peers not yet reported here. */
-    private static final double MAX_KV_FILL = 0.95;
+    /** Fraction of a server that is filled; the rest absorbs placements by peers not yet reported here. */
+    private static final double MAX_FILL = 0.95;
+    /**
+     * Fraction that requests fill which can't meet their latency target any more. Every instance has a queue of its
+     * own, so that only room that stays free serves the requests of others which can still be on time.
+     */
+    private static final double MAX_LATE_FILL = 0.8;
     /** How much later than a direct placement a split one may be and still be preferred. */
     private static final double DIRECT_PENALTY_MILLIS = 250;
     /** How much later a placement within one zone may be and still be preferred: cross-zone transfers cost twice. */
@@ -73,28 +78,27 @@
      *
      * @param servers the service's servers that accept new requests
      * @param avoid servers that failed or rejected this request before
-     * @param within the latest acceptable time until the first token; if no placement meets it, the result is
-     *     {@link EnginePlacement.NoCapacity}
-     * @param maxEventGap the maximum gap between the events of a stream; zero if the route has no such target
+     * @param target what the placement must meet; if none does, the result is {@link EnginePlacement.NoCapacity}
      */
     public EnginePlacement choose(
             List<ServerEntry> servers,
             EngineSpec spec,
             TokenDemand demand,
             Set<ServerId> avoid,
-            Duration within,
-            Duration maxEventGap,
+            PlacementTarget target,
             Duration now) {
+        double maxFill = target.onTime() ? MAX_FILL : MAX_LATE_FILL;
         List<ServerEntry> sound = healthy(servers, avoid, now);
         List<ServerEntry> prefillServers = sound.stream()
                 .filter(server -> server.stage() == ServerStage.PREFILL)
                 .toList();
         List<ServerEntry> decodeServers = sound.stream()
-                .filter(server -> server.stage() != ServerStage.PREFILL && hasDecodeCapacity(server, spec, demand, now))
+                .filter(server ->
+                        server.stage() != ServerStage.PREFILL && hasDecodeCapacity(server, spec, demand, maxFill, now))
                 .toList();
         Choice best = null;
         for (ServerEntry decode : decodeServers) {
-            if (prefillServers.isEmpty() || !wouldStallStreams(decode, demand, maxEventGap, now)) {
+            if (prefillServers.isEmpty() || !wouldStallStreams(decode, demand, target.maxEventGap(), now)) {
                 best = cheaper(best, direct(decode, spec, demand, now));
             }
         }
@@ -114,7 +118,9 @@
             return new EnginePlacement.NoCapacity(Duration.ofMillis(-1));
         }
         Duration expected = millis(best.millis());
-        return expected.compareTo(within) <= 0 ? best.placement() : new EnginePlacement.NoCapacity(expected);
+        return expected.compareTo(target.firstToken()) <= 0
+                ? best.placement()
+                : new EnginePlacement.NoCapacity(expected);
     }
 
     /**
@@ -126,7 +132,8 @@
     public Optional<ServerEntry> chooseDecode(
             List<ServerEntry> servers, EngineSpec spec, TokenDemand demand, Set<ServerId> avoid, Duration now) {
         return healthy(servers, avoid, now).stream()
-                .filter(server -> server.stage() != ServerStage.PREFILL && hasDecodeCapacity(server, spec, demand, now))
+                .filter(server ->
+                        server.stage() != ServerStage.PREFILL && hasDecodeCapacity(server, spec, demand, MAX_FILL, now))
                 .min(Comparator.comparingDouble(server -> kvShare(server, spec) + CROSS_ZONE_KV_SHARE * far(server)));
     }
 
@@ -135,7 +142,7 @@
      * estimate preempts another.
      */
     private static double fullness(double kvShare) {
-        return kvShare / Math.max(1 - MAX_KV_FILL, 1 - kvShare);
+        return kvShare / Math.max(1 - MAX_FILL, 1 - kvShare);
     }
 
     /** Returns the share of a server's KV cache that its requests are expected to fill at their peak. */
@@ -150,7 +157,7 @@
     /** Returns the servers that are not ejected; all but {@code avoid} if no decode server is left otherwise. */
     private List<ServerEntry> healthy(List<ServerEntry> servers, Set<ServerId> avoid, Duration now) {
         List<ServerEntry> sound = servers.stream()
-                .filter(server -> health.isUsable(server.id(), now) && !avoid.contains(server.id()))
+                .filter(server -> health.isUsable(server, now) && !avoid.contains(server.id()))
                 .toList();
         boolean canDecode = sound.stream().anyMatch(server -> server.stage() != ServerStage.PREFILL);
         return canDecode
@@ -229,16 +236,17 @@
         return batchPenalty + errors + slow + far;
     }
 
-    private boolean hasDecodeCapacity(ServerEntry server, EngineSpec spec, TokenDemand demand, Duration now) {
+    private boolean hasDecodeCapacity(
+            ServerEntry server, EngineSpec spec, TokenDemand demand, double maxFill, Duration now) {
         ServerLoad load = loads.total(server.id());
         return !loads.isFull(server.id(), now)
-                && load.requests() < server.slots()
-                && load.plus(ServerLoad.ofDecode(demand, spec, 0)).peakKvTokens() <= spec.kvCapacity() * MAX_KV_FILL;
+                && load.requests() < server.slots() * maxFill
+                && load.plus(ServerLoad.ofDecode(demand, spec, 0)).peakKvTokens() <= spec.kvCapacity() * maxFill;
     }
 
     private boolean hasPrefillCapacity(ServerEntry server, EngineSpec spec, TokenDemand demand) {
         ServerLoad load = loads.total(server.id());
-        return load.requests() < server.slots() && load.kvTokens() + demand.prompt() <= spec.kvCapacity() * MAX_KV_FILL;
+        return load.requests() < server.slots() && load.kvTokens() + demand.prompt() <= spec.kvCapacity() * MAX_FILL;
     }
 
     private static Duration millis(double value) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
@@ -53,9 +53,8 @@
      * @param tried servers that were sent the request before; they are not chosen again
      */
     public Optional<ServerEntry> choose(List<ServerEntry> servers, Set<ServerId> tried, Duration now) {
-        List<ServerEntry> usable = servers.stream()
-                .filter(server -> health.isUsable(server.id(), now))
-                .toList();
+        List<ServerEntry> usable =
+                servers.stream().filter(server -> health.isUsable(server, now)).toList();
         List<ServerEntry> candidates = usable.isEmpty() ? servers : usable;
         ServerEntry best = null;
         double bestCost = Double.MAX_VALUE;
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
@@ -6,11 +6,13 @@
 import java.util.Set;
 
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.directory.ServerEntry;
 
 /** Tracks the health of all servers from their answers to this instance; confined to one thread. */
 public final class ServerHealthTracker {
 
     private final Map<ServerId, ServerHealth> servers = new HashMap<>();
+    private final ZoneReachability zones = new ZoneReachability();
 
     private ServerHealthTracker() {}
 
@@ -20,8 +22,19 @@
     }
 
     /** Records an answer of a server and its latency. */
-    public void recordAnswer(ServerId server, boolean failed, Duration took, Duration now) {
-        health(server).recordAnswer(failed, took, now);
+    public void recordAnswer(ServerEntry server, boolean failed, Duration took, Duration now) {
+        health(server.id()).recordAnswer(failed, took, now);
+        zones.recordAnswer(server.zone());
+    }
+
+    /** Records that a server answered a call which tells nothing about its speed or its errors. */
+    public void recordReachable(ServerEntry server) {
+        zones.recordAnswer(server.zone());
+    }
+
+    /** Records that no connection to a server could be opened in time. */
+    public void recordUnreachable(ServerEntry server, Duration now) {
+        zones.recordUnreachable(server.zone(), server.id(), now);
     }
 
     /** Records that a server did not answer; returns the length of the new ejection, zero if one is running. */
@@ -39,10 +52,10 @@
         health(server).recordInconclusive();
     }
 
-    /** Tells whether a server may be sent a request: it is not ejected and no trial is in flight. */
-    public boolean isUsable(ServerId server, Duration now) {
-        ServerHealth health = servers.get(server);
-        return health == null || health.isUsable(now);
+    /** Tells whether a server may be sent a request: it is reachable, not ejected, and no trial is in flight. */
+    public boolean isUsable(ServerEntry server, Duration now) {
+        ServerHealth health = servers.get(server.id());
+        return !zones.isCutOff(server.zone(), now) && (health == null || health.isUsable(now));
     }
 
     /** Returns the decaying average of the share of failed answers, 0 to 1. */
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineBalancerTest.java
@@ -99,7 +99,7 @@
         Duration ejected = fixture.health.recordNoAnswer(ServerId.of("p-a"), fixture.now);
         assertThat(split(fixture.place(3000)).prefill().id()).isEqualTo(ServerId.of("p-b"));
         fixture.now = fixture.now.plus(ejected);
-        assertThat(fixture.health.isUsable(ServerId.of("p-a"), fixture.now)).isTrue();
+        assertThat(fixture.health.isUsable(fixture.entry("p-a"), fixture.now)).isTrue();
     }
 
     @Test
@@ -110,4 +110,53 @@
         }
         assertThat(split(fixture.place(3000)).prefill().id()).isEqualTo(ServerId.of("p-b"));
     }
+
+    /** In an overload, instances with late requests only must not take the room that others need to be on time. */
+    @ParameterizedTest
+    @CsvSource({"20000, true, true", "30000, true, false", "37000, false, false"})
+    void lateRequestsLeaveRoomToThoseOnTime(int kvTokens, boolean onTimePlaced, boolean latePlaced) {
+        EngineFixture fixture = twoZones().load("d-a", 8, 0, kvTokens).load("d-b", 8, 0, kvTokens);
+        assertThat(isPlaced(fixture, true)).isEqualTo(onTimePlaced);
+        assertThat(isPlaced(fixture, false)).isEqualTo(latePlaced);
+    }
+
+    private static boolean isPlaced(EngineFixture fixture, boolean onTime) {
+        PlacementTarget target = new PlacementTarget(EngineFixture.TARGET, EngineFixture.MAX_EVENT_GAP, onTime);
+        return !(fixture.place(3000, target) instanceof EnginePlacement.NoCapacity);
+    }
+
+    /** A zone is cut off: each of its servers would cost some requests a connection timeout. */
+    @Test
+    void aZoneWithSeveralUnreachableServersIsAvoidedUntilOneAnswers() {
+        EngineFixture fixture = twoZones()
+                .server("d-b2", ServerStage.DECODE, "b")
+                .load("d-a", 8, 0, 25_000)
+                .load("p-a", 3, 9000, 9000);
+        fixture.health.recordUnreachable(fixture.entry("p-b"), fixture.now);
+        assertThat(split(fixture.place(3000)).decode().zone().value()).isEqualTo("b");
+        fixture.health.recordUnreachable(fixture.entry("d-b"), fixture.now);
+        EnginePlacement.Split placement = split(fixture.place(3000));
+        assertThat(placement.decode().id()).isEqualTo(ServerId.of("d-a"));
+        assertThat(placement.prefill().id()).isEqualTo(ServerId.of("p-a"));
+        fixture.health.recordReachable(fixture.entry("d-b2"));
+        assertThat(split(fixture.place(3000)).decode().zone().value()).isEqualTo("b");
+    }
+
+    @Test
+    void aZoneThatWasCutOffIsTriedAgain() {
+        EngineFixture fixture = twoZones();
+        fixture.health.recordUnreachable(fixture.entry("p-b"), fixture.now);
+        fixture.health.recordUnreachable(fixture.entry("d-b"), fixture.now);
+        assertThat(fixture.health.isUsable(fixture.entry("d-b"), fixture.now)).isFalse();
+        fixture.now = fixture.now.plus(ZoneReachability.AVOIDANCE);
+        assertThat(fixture.health.isUsable(fixture.entry("d-b"), fixture.now)).isTrue();
+    }
+
+    /** With all zones out of reach, a request goes to some server rather than to none. */
+    @Test
+    void withoutAReachableZoneEveryServerIsUsable() {
+        EngineFixture fixture = twoZones();
+        fixture.servers.forEach(server -> fixture.health.recordUnreachable(server, fixture.now));
+        assertThat(fixture.place(3000)).isInstanceOf(EnginePlacement.Split.class);
+    }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
@@ -43,6 +43,13 @@
         return this;
     }
 
+    ServerEntry entry(String id) {
+        return servers.stream()
+                .filter(server -> server.id().value().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
     EngineFixture load(String id, int requests, long prefillTokens, long kvTokens) {
         loads.add(ServerId.of(id), new ServerLoad(requests, prefillTokens, kvTokens, 0));
         return this;
@@ -53,7 +60,11 @@
     }
 
     EnginePlacement place(int prompt, Duration within) {
+        return place(prompt, new PlacementTarget(within, MAX_EVENT_GAP, true));
+    }
+
+    EnginePlacement place(int prompt, PlacementTarget target) {
         EngineSpec spec = new EngineSpec(16, KV_CAPACITY, 11, Duration.ofMillis(500), Duration.ofSeconds(2));
-        return balancer.choose(servers, spec, new TokenDemand(prompt, 1870, 800), Set.of(), within, MAX_EVENT_GAP, now);
+        return balancer.choose(servers, spec, new TokenDemand(prompt, 1870, 800), Set.of(), target, now);
     }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
@@ -59,18 +59,18 @@
     @Test
     void aServerThatFailsHalfOfItsRequestsIsAvoided() {
         for (int i = 0; i < 10; i++) {
-            health.recordAnswer(ServerId.of("s-a"), i % 2 == 0, Duration.ofMillis(20), NOW);
+            health.recordAnswer(servers.getFirst(), i % 2 == 0, Duration.ofMillis(20), NOW);
         }
         assertThat(choice(Set.of())).isNotEqualTo("s-a");
     }
 
     @Test
     void anUnresponsiveServerIsEjectedAndThenTriedWithOneRequest() {
-        ServerId unresponsive = ServerId.of("s-a");
-        Duration ejection = health.recordNoAnswer(unresponsive, NOW);
+        ServerEntry unresponsive = servers.getFirst();
+        Duration ejection = health.recordNoAnswer(unresponsive.id(), NOW);
         assertThat(choice(Set.of())).isNotEqualTo("s-a");
         assertThat(health.isUsable(unresponsive, NOW.plus(ejection))).isTrue();
-        health.recordSent(unresponsive);
+        health.recordSent(unresponsive.id());
         assertThat(health.isUsable(unresponsive, NOW.plus(ejection))).isFalse();
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -266,7 +266,7 @@
                 fail(Verdict.RAN, "stream ended within an incomplete event");
                 return;
             }
-            context.serverHealth().recordAnswer(server.id(), false, took, context.now());
+            context.serverHealth().recordAnswer(server, false, took, context.now());
             exchange.startResponse(reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()));
             release();
             exchange.completed(server, reply.status());
@@ -286,14 +286,14 @@
             context.loads().recordRejection(server.id(), context.now());
             context.serverHealth().recordInconclusive(server.id());
         } else {
-            context.serverHealth().recordAnswer(server.id(), true, Duration.ZERO, context.now());
+            context.serverHealth().recordAnswer(server, true, Duration.ZERO, context.now());
         }
         release();
         exchange.decodeFailed(server, Verdict.NOT_RUN, cacheLost, "rejected with " + reply.status());
     }
 
     private void onServerError(Duration took) {
-        context.serverHealth().recordAnswer(server.id(), reply.isServerError(), took, context.now());
+        context.serverHealth().recordAnswer(server, reply.isServerError(), took, context.now());
         boolean mayForward = !exchange.responseStarted()
                 && !reply.isUnverifiedSuccess()
                 && !PlainExchange.NOT_RUN_STATUSES.contains(reply.status());
@@ -313,10 +313,13 @@
         if (released) {
             return;
         }
+        if (failure.isUnreachable()) {
+            context.serverHealth().recordUnreachable(server, context.now());
+        }
         if (failure.progress() == AttemptProgress.BEFORE_CONNECT) {
             context.serverHealth().recordNoAnswer(server.id(), context.now());
         } else {
-            context.serverHealth().recordAnswer(server.id(), true, Duration.ZERO, context.now());
+            context.serverHealth().recordAnswer(server, true, Duration.ZERO, context.now());
         }
         fail(failure.progress().verdict(), failure.detail());
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -17,6 +17,7 @@
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.dispatch.balance.EnginePlacement;
+import org.mangoridge.dispatch.balance.PlacementTarget;
 import org.mangoridge.dispatch.balance.QueueDeadlines;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
@@ -121,7 +122,8 @@
     Optional<EnginePlacement> findPlacement() {
         Duration now = context.now();
         Duration within = queueDeadlines.onTimeUntil().minus(now);
-        if (!within.isPositive()) {
+        boolean onTime = within.isPositive();
+        if (!onTime) {
             within = Duration.ofNanos((long) (scope.route().latencyTarget().toNanos() * LATE_REQUEST_TARGET_SHARE));
         }
         EnginePlacement placement = context.engineBalancer()
@@ -130,8 +132,7 @@
                         spec,
                         scope.caller().tokens(),
                         excludedServers,
-                        within,
-                        scope.route().gapTarget(),
+                        new PlacementTarget(within, scope.route().gapTarget(), onTime),
                         now);
         return placement instanceof EnginePlacement.NoCapacity ? Optional.empty() : Optional.of(placement);
     }
@@ -229,7 +230,7 @@
         }
         releasePrefill();
         if (cacheLost) {
-            context.serverHealth().recordAnswer(prefill.server().id(), true, Duration.ZERO, context.now());
+            context.serverHealth().recordAnswer(prefill.server(), true, Duration.ZERO, context.now());
             excludedServers.add(prefill.server().id());
         } else {
             excludedServers.add(server.id());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -291,7 +291,7 @@
             }
             Duration took = context.now().minus(started);
             boolean failed = reply.isServerError() || reply.isUnverifiedSuccess() || reply.didNotRun();
-            context.serverHealth().recordAnswer(server.id(), failed, took, context.now());
+            context.serverHealth().recordAnswer(server, failed, took, context.now());
             if (reply.didNotRun()) {
                 whole.release();
                 onRejection();
@@ -354,11 +354,13 @@
             }
             Verdict last = failure.progress().verdict();
             recordOutcome(last);
+            if (failure.isUnreachable()) {
+                context.serverHealth().recordUnreachable(server, context.now());
+            }
             if (failure.progress() == AttemptProgress.BEFORE_CONNECT) {
                 recordTimeout();
             } else {
-                context.serverHealth()
-                        .recordAnswer(server.id(), true, context.now().minus(started), context.now());
+                context.serverHealth().recordAnswer(server, true, context.now().minus(started), context.now());
             }
             if (!retry(last, server.id(), failure.detail())) {
                 giveUp(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -183,7 +183,7 @@
                 ? context.dialect().readPrefillResponse(ByteBufUtil.getBytes(body))
                 : Optional.empty();
         Duration took = context.now().minus(started);
-        context.serverHealth().recordAnswer(server.id(), response.isEmpty(), took, context.now());
+        context.serverHealth().recordAnswer(server, response.isEmpty(), took, context.now());
         finishPrefill();
         if (response.isPresent()) {
             handle = response.get().handle();
@@ -215,6 +215,9 @@
         }
         finishPrefill();
         context.serverHealth().recordNoAnswer(server.id(), context.now());
+        if (failure.isUnreachable()) {
+            context.serverHealth().recordUnreachable(server, context.now());
+        }
         release();
         exchange.prefillFailed(server, failure.detail());
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -138,6 +138,7 @@
         }
         byte[] responseBody = ByteBufUtil.getBytes(body);
         finishCall();
+        context.serverHealth().recordReachable(server);
         if (reply.isFromOtherServer(server.id())) {
             context.directory().drop(server.id());
             onRejection("the address belongs to another server now");
@@ -170,6 +171,9 @@
         if (pending) {
             finishCall();
             context.serverHealth().recordNoAnswer(server.id(), context.now());
+            if (failure.isUnreachable()) {
+                context.serverHealth().recordUnreachable(server, context.now());
+            }
             log(failure.detail());
             exchange.reservationFailed(server);
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -55,14 +55,14 @@
     private static final Duration STREAM_REFUSAL_DELAY = Duration.ofMillis(2900);
     /** Time before the end of the grace period from which all new requests are refused. */
     private static final Duration REQUEST_REFUSAL_MARGIN = Duration.ofMillis(1800);
-    /** Delay that batches server changes, a third of the shortest time in which a leaving server must be known. */
-    private static final Duration SERVER_DELAY = Duration.ofMillis(600);
+    /** Delay that batches server changes, as a share of the time within which a draining server must be known. */
+    private static final double SERVER_DELAY_SHARE = 0.3;
     /** Delay that batches configuration changes, which are rare and must be in force within two seconds. */
     private static final Duration CONFIG_DELAY = Duration.ofMillis(100);
     /** Delay before the store is queried for a configuration that a peer has and this instance has not received. */
     private static final Duration CONFIG_CATCH_UP_DELAY = Duration.ofMillis(400);
-    /** The same for server changes, longer by the delay that batches them. */
-    private static final Duration SERVERS_CATCH_UP_DELAY = SERVER_DELAY.plusMillis(300);
+    /** The same for server changes, in addition to the delay that batches them. */
+    private static final Duration SERVERS_CATCH_UP_MARGIN = Duration.ofMillis(300);
 
     private final GatewaySettings settings;
     private final Clock clock;
@@ -79,6 +79,7 @@
     private final Follower<GatewayConfig> configFollower;
     private final Follower<ServerEntry> serverFollower;
     private final ServerEvents serverEvents;
+    private final Duration serverDelay;
     private final StageController stages;
     private final StoreEra era;
     private final CountDownLatch terminated = new CountDownLatch(1);
@@ -139,7 +140,8 @@
                 feeds.era());
         this.era = feeds.era();
         this.serverEvents = new ServerEvents(context, router::placeWaitingRequests);
-        this.serverFollower = Follower.create(feeds.servers(), serverEvents, SERVER_DELAY, this::defer, random);
+        this.serverDelay = Duration.ofNanos((long) (settings.drainNotice().toNanos() * SERVER_DELAY_SHARE));
+        this.serverFollower = Follower.create(feeds.servers(), serverEvents, serverDelay, this::defer, random);
         this.configFollower = Follower.create(
                 feeds.configs(), new ConfigEvents(router, log, context.metrics()), CONFIG_DELAY, this::defer, random);
     }
@@ -245,7 +247,7 @@
         long servers = newest.serversRevision();
         if (servers > serverFollower.revision() && servers > requestedServersRevision) {
             requestedServersRevision = servers;
-            defer(SERVERS_CATCH_UP_DELAY, () -> {
+            defer(serverDelay.plus(SERVERS_CATCH_UP_MARGIN), () -> {
                 if (serverFollower.revision() < servers) {
                     serverFollower.restartWatch();
                 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param retryRatio the retries allowed per request
  * @param retryAllowance the retries allowed in addition per window, for all instances together
  * @param retryWindow the length of that window
+ * @param drainNotice the time within which a server that drains must get no new requests
  * @param handoverDelay the least time between orders of two successive lease holders to the same server
  * @param grace the time from the shutdown signal until the process is killed
  */
@@ -41,6 +42,7 @@
         double retryRatio,
         double retryAllowance,
         Duration retryWindow,
+        Duration drainNotice,
         Duration handoverDelay,
         Duration grace) {
 
@@ -53,6 +55,7 @@
         Checks.argument(retryRatio >= 0, "retry ratio must not be negative: %s", retryRatio);
         Checks.argument(retryAllowance >= 0, "retry allowance must not be negative: %s", retryAllowance);
         Checks.argument(retryWindow.isPositive(), "retry window must be positive: %s", retryWindow);
+        Checks.argument(drainNotice.isPositive(), "drain notice must be positive: %s", drainNotice);
         Checks.argument(!handoverDelay.isNegative(), "handover delay must not be negative: %s", handoverDelay);
         Checks.argument(grace.isPositive(), "grace must be positive: %s", grace);
         seeds = List.copyOf(seeds);
