--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
@@ -241,7 +241,14 @@
         ServerLoad load = loads.total(server.id());
         return !loads.isFull(server.id(), now)
                 && load.requests() < server.slots() * maxFill
-                && load.plus(ServerLoad.ofDecode(demand, spec, 0)).peakKvTokens() <= spec.kvCapacity() * maxFill;
+                && fits(load, ServerLoad.ofDecode(demand, spec, 0), spec, maxFill);
+    }
+
+    /** A server without requests takes any that its KV cache can hold; otherwise the largest would never be placed. */
+    private static boolean fits(ServerLoad load, ServerLoad added, EngineSpec spec, double maxFill) {
+        return load.kvTokens() == 0
+                ? added.kvTokens() <= spec.kvCapacity()
+                : load.plus(added).peakKvTokens() <= spec.kvCapacity() * maxFill;
     }
 
     private boolean hasPrefillCapacity(ServerEntry server, EngineSpec spec, TokenDemand demand) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
@@ -45,9 +45,14 @@
         return status >= MIN_SERVER_ERROR;
     }
 
-    /** Returns whether the server certainly did not execute the request. */
+    /**
+     * Returns whether the server certainly did not execute the request.
+     *
+     * <p>A statement that does not name the request may be a late copy of the answer to another call. Status 421 can't be
+     * one: a call to a server that is not there any more has no earlier answers.
+     */
     public boolean didNotRun() {
-        return notRun || misdirected;
+        return (notRun && request.isPresent()) || misdirected;
     }
 
     /** Returns whether the server had no capacity for the request, or could not import the KV cache that it needs. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -250,7 +250,9 @@
         if (errorBody == Unpooled.EMPTY_BUFFER) {
             errorBody = Unpooled.buffer(data.readableBytes());
         }
-        if (errorBody.readableBytes() + data.readableBytes() <= MAX_ERROR_BODY_BYTES) {
+        if (errorBody.readableBytes() + data.readableBytes() > MAX_ERROR_BODY_BYTES) {
+            failStream("error response exceeds the maximum size");
+        } else {
             errorBody.writeBytes(data);
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.dispatch.balance.PrefillTimeEstimator;
 import org.mangoridge.dispatch.balance.ServerLoad;
 import org.mangoridge.dispatch.directory.ServerEntry;
@@ -161,6 +162,7 @@
         ServerReply response = context.dialect().readReply(head);
         if (response.request().isPresent()
                 && !response.request().get().equals(exchange.scope().caller().id())) {
+            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
             return false;
         }
         reply = response;
@@ -169,7 +171,13 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (body.readableBytes() + data.readableBytes() <= MAX_RESPONSE_BYTES) {
+        if (!prefilling) {
+            return;
+        }
+        if (body.readableBytes() + data.readableBytes() > MAX_RESPONSE_BYTES) {
+            call.cancel();
+            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response exceeds the maximum size"));
+        } else {
             body.writeBytes(data);
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RefusalWriter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RefusalWriter.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -33,7 +34,8 @@
         id.ifPresent(request -> dialect.writeRequestId(headers, request));
         refusal.retryAfter().ifPresent(after -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(after)));
         String body = "{\"error\":\"" + refusal.reason().code() + "\",\"verdict\":\""
-                + refusal.verdict().text() + "\",\"detail\":\"" + refusal.detail() + "\"}";
+                + refusal.verdict().text() + "\",\"detail\":\""
+                + new String(JsonStringEncoder.getInstance().quoteAsString(refusal.detail())) + "\"}";
         ByteBuf bytes = Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8));
         HttpResponseStatus status = status(refusal);
         exchange.respond(status, headers, bytes);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallFailure;
@@ -120,13 +121,25 @@
 
     @Override
     public boolean head(HttpResponse head) {
-        reply = context.dialect().readReply(head);
+        ServerReply read = context.dialect().readReply(head);
+        if (read.request().isPresent()) {
+            // The call has no id of a request, so this is a late copy of the answer to an earlier one.
+            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+            return false;
+        }
+        reply = read;
         return true;
     }
 
     @Override
     public void data(ByteBuf data) {
-        if (pending && body.readableBytes() + data.readableBytes() <= MAX_RESPONSE_BYTES) {
+        if (!pending) {
+            return;
+        }
+        if (body.readableBytes() + data.readableBytes() > MAX_RESPONSE_BYTES) {
+            call.cancel();
+            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response exceeds the maximum size"));
+        } else {
             body.writeBytes(data);
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
@@ -8,8 +8,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangoridge.core.Result;
+import org.mangoridge.core.verdict.AttemptProgress;
 
-/** Collects a complete response in memory. */
+/**
+ * Collects a complete response in memory.
+ *
+ * <p>A response that is too large fails before its end; the caller then cancels the call.
+ */
 public final class BodyCollector implements CallListener {
 
     private final int maxBytes;
@@ -17,7 +22,7 @@
     private final ByteBuf body = Unpooled.buffer(1024);
     private int status;
     private HttpHeaders headers;
-    private boolean overflow;
+    private boolean finished;
 
     /**
      * A complete response.
@@ -47,26 +52,33 @@
 
     @Override
     public void data(ByteBuf data) {
-        overflow |= body.readableBytes() + data.readableBytes() > maxBytes;
-        if (!overflow) {
+        if (finished) {
+            return;
+        }
+        if (body.readableBytes() + data.readableBytes() > maxBytes) {
+            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response body is too large"));
+        } else {
             body.writeBytes(data);
         }
     }
 
     @Override
     public void completed() {
+        if (finished) {
+            return;
+        }
+        finished = true;
         byte[] bytes = ByteBufUtil.getBytes(body);
         body.release();
-        if (overflow) {
-            callback.accept(Result.err(new CallFailure(
-                    org.mangoridge.core.verdict.AttemptProgress.ANSWER_RECEIVED, false, "response body is too large")));
-        } else {
-            callback.accept(Result.ok(new Response(status, headers, bytes)));
-        }
+        callback.accept(Result.ok(new Response(status, headers, bytes)));
     }
 
     @Override
     public void failed(CallFailure failure) {
+        if (finished) {
+            return;
+        }
+        finished = true;
         body.release();
         callback.accept(Result.err(failure));
     }
