Give up the lease after a suspension, follow the store past a failing listener, refuse prompts that fit nowhere

Causes, by reading and shown by tests: the monotonic clock does not count a suspension, so that a lease could run out unseen, and an order whose server was asked before a pause left after it; an exception of a listener ended the following of the store for good; prompts larger than every server's KV cache waited 2.5 s and were then refused. Change: StageController gives the lease up when the time of day runs ahead of the monotonic clock and asks again right before an order leaves; the follower arranges its next watch before it calls its listener; such prompts are refused at once.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/time/VirtualClock.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/time/VirtualClock.java
@@ -11,6 +11,7 @@
     private static final Instant ORIGIN = Instant.parse("2026-01-01T00:00:00Z");
 
     private volatile Duration elapsed = Duration.ZERO;
+    private volatile Duration suspended = Duration.ZERO;
 
     private VirtualClock() {}
 
@@ -29,9 +30,15 @@
         elapsed = elapsed.plus(step);
     }
 
+    /** Moves the time of day forward without the monotonic time, as when a machine is suspended. */
+    public synchronized void suspend(Duration step) {
+        Checks.argument(!step.isNegative(), "clock must not go back: %s", step);
+        suspended = suspended.plus(step);
+    }
+
     @Override
     public Instant now() {
-        return ORIGIN.plus(elapsed);
+        return ORIGIN.plus(elapsed).plus(suspended);
     }
 
     @Override
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -130,9 +130,11 @@
             return;
         }
         revision = listRevision;
-        listener.replaced(List.copyOf(collected));
+        List<T> items = List.copyOf(collected);
         collected.clear();
+        // Before the listener is called, so that the watch goes on if it fails.
         watch(callEpoch);
+        listener.replaced(items);
     }
 
     private void watch(int callEpoch) {
@@ -149,23 +151,24 @@
 
     private void changed(FeedChanges<T> changes, int callEpoch) {
         recordSuccess();
+        revision = Math.max(revision, changes.revision());
+        newestChange = Math.max(newestChange, changes.newest());
+        if (changes.changes().isEmpty()) {
+            watch(callEpoch);
+            return;
+        }
+        // Before the listener is called, so that the watch goes on if it fails.
+        timer.accept(batchDelay, () -> {
+            if (callEpoch == epoch) {
+                watch(callEpoch);
+            }
+        });
         for (FeedChanges.Change<T> change : changes.changes()) {
             switch (change) {
                 case FeedChanges.Change.Put<T> put -> listener.put(put.item());
                 case FeedChanges.Change.Removed<T> removed -> listener.removed(removed.name());
             }
         }
-        revision = Math.max(revision, changes.revision());
-        newestChange = Math.max(newestChange, changes.newest());
-        if (changes.changes().isEmpty()) {
-            watch(callEpoch);
-        } else {
-            timer.accept(batchDelay, () -> {
-                if (callEpoch == epoch) {
-                    watch(callEpoch);
-                }
-            });
-        }
     }
 
     private void watchFailed(FeedFailure failure, int callEpoch) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
@@ -13,6 +13,7 @@
 import org.mangoridge.core.Result;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class FollowerTest {
 
@@ -45,6 +46,7 @@
     private static final class RecordingListener implements FeedListener<String> {
         final List<String> items = new ArrayList<>();
         boolean reachable;
+        boolean failing;
 
         @Override
         public void replaced(List<String> all) {
@@ -54,6 +56,9 @@
 
         @Override
         public void put(String item) {
+            if (failing) {
+                throw new IllegalStateException("test");
+            }
             items.add(item);
         }
 
@@ -174,4 +179,17 @@
         assertThat(follower.revision()).isEqualTo(4);
         assertThat(feed.calls.getLast()).isEqualTo("watch 4");
     }
+
+    /** An unexpected error while one change takes effect must not end the following of all later ones. */
+    @Test
+    void theWatchGoesOnAfterAListenerFailed() {
+        listed(9, "a");
+        listener.failing = true;
+        assertThrows(
+                IllegalStateException.class,
+                () -> feed.watch.accept(Result.ok(new FeedChanges<>(
+                        List.of(new FeedChanges.Change.Put<>("b"), new FeedChanges.Change.Put<>("c")), 12, 12))));
+        timers.forEach(Runnable::run);
+        assertThat(feed.calls.getLast()).isEqualTo("watch 12");
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -98,6 +98,10 @@
     }
 
     private void placeOrEnqueue() {
+        if (scope.caller().tokens().prompt() >= spec.kvCapacity()) {
+            giveUp(RefusalReason.NO_CAPACITY, "the prompt is larger than the KV cache of a backend server");
+            return;
+        }
         Optional<EnginePlacement> placement = findPlacement();
         if (placement.isPresent()) {
             place(placement.get());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageController.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/stage/StageController.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.stage;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -30,6 +31,9 @@
     /** Lease duration as a multiple of the minimum separation between the orders of two holders. */
     private static final int LEASE_FACTOR = 3;
 
+    /** Time of day that passes beyond monotonic time when a process is suspended; smaller differences are drift. */
+    private static final Duration MIN_SUSPENSION = Duration.ofMillis(500);
+
     private final Clock clock;
     private final EventSink log;
     private final LoadTracker loads;
@@ -39,6 +43,8 @@
     private final LeaseMachine lease;
     private final StageOrderScheduler scheduler;
     private Optional<Tenure> loggedTenure = Optional.empty();
+    private Instant lastNow;
+    private Duration lastElapsed;
 
     private StageController(
             InstanceId self,
@@ -91,6 +97,7 @@
      * @param candidate whether this instance should acquire the lease if it is free
      */
     public void tick(Supplier<List<ServerEntry>> servers, boolean candidate) {
+        giveUpIfSuspended();
         Duration now = clock.elapsed();
         List<ServerEntry> known = servers.get();
         boolean held = lease.tenure(now).isPresent();
@@ -107,7 +114,7 @@
 
     /** Gives up the lease, which the store may have lost when it was restored. */
     public void storeRestored() {
-        handle(new LeaseEvent.StoreRestored());
+        handle(new LeaseEvent.Invalidated());
     }
 
     private long load(ServerEntry server) {
@@ -130,7 +137,32 @@
         }
     }
 
+    /**
+     * Gives up the lease if the process was suspended. The monotonic clock does not count that time, so that the lease
+     * can have run out without a sign of it; a step of the time of day looks the same and gives it up for nothing.
+     */
+    private void giveUpIfSuspended() {
+        Instant now = clock.now();
+        Duration elapsed = clock.elapsed();
+        if (lastNow != null) {
+            Duration uncounted = Duration.between(lastNow, now).minus(elapsed.minus(lastElapsed));
+            if (uncounted.compareTo(MIN_SUSPENSION) > 0) {
+                lease.on(new LeaseEvent.Invalidated(), elapsed);
+            }
+        }
+        lastNow = now;
+        lastElapsed = elapsed;
+    }
+
+    private boolean isHeldFor(StageOrder order) {
+        giveUpIfSuspended();
+        return lease.tenure(clock.elapsed())
+                .filter(tenure -> tenure.fencing().equals(order.fencing()))
+                .isPresent();
+    }
+
     private void handle(LeaseEvent event) {
+        giveUpIfSuspended();
         lease.on(event, clock.elapsed()).ifPresent(this::perform);
         logTenureChange(clock.elapsed());
     }
@@ -146,7 +178,7 @@
     }
 
     private void send(StageOrder order) {
-        sender.send(order, outcome -> {
+        sender.send(order, () -> isHeldFor(order), outcome -> {
             log.log(
                     LogEvent.ORDER_GIVEN,
                     Field.of("server", order.server().id()),
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageControllerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/stage/StageControllerTest.java
@@ -47,14 +47,19 @@
         }
     };
 
+    private Runnable beforeSend = () -> {};
+
     private final StageController controller = StageController.create(
             InstanceId.of("entry-1"),
             HOLDER_SEPARATION,
             clock,
             (event, fields) -> {},
             LoadTracker.create(),
-            (order, answer) -> {
-                sent.add(order);
+            (order, permitted, answer) -> {
+                beforeSend.run();
+                if (permitted.getAsBoolean()) {
+                    sent.add(order);
+                }
                 answer.accept(outcome);
             },
             store,
@@ -93,4 +98,23 @@
                     .isGreaterThan(sent.get(i - 1).fencing().value());
         }
     }
+
+    /** The process is suspended after it has read the state of a server; the monotonic clock does not count that time. */
+    @Test
+    void anOrderWhoseLeaseRanOutDuringASuspensionIsNotSent() {
+        beforeSend = () -> clock.suspend(Duration.ofSeconds(30));
+        run(Duration.ofSeconds(20), true);
+        assertThat(sent).isEmpty();
+    }
+
+    @Test
+    void aLeaseIsGivenUpAfterASuspension() {
+        run(Duration.ofSeconds(5), true);
+        int orders = sent.size();
+        clock.suspend(Duration.ofSeconds(30));
+        controller.tick(() -> servers, false);
+        clock.advance(TICK);
+        run(Duration.ofSeconds(1), false);
+        assertThat(sent).hasSize(orders);
+    }
 }
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseEvent.java
@@ -39,8 +39,8 @@
      */
     record FencingSeen(long fencing) implements LeaseEvent {}
 
-    /** The store was restored from a copy and may have lost the lease. */
-    record StoreRestored() implements LeaseEvent {}
+    /** The lease may be lost unnoticed: the store was restored from a copy, or the process was suspended. */
+    record Invalidated() implements LeaseEvent {}
 
     /** The instance is shutting down and has no order in progress. */
     record Release() implements LeaseEvent {}
--- a/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
+++ b/mangoridge-orders/src/main/java/org/mangoridge/orders/lease/LeaseMachine.java
@@ -77,7 +77,7 @@
             }
             case LeaseEvent.WriteFinished finished -> onWriteFinished(finished.outcome(), now);
             case LeaseEvent.FencingSeen seen -> onFencingSeen(seen.fencing());
-            case LeaseEvent.StoreRestored restored -> onStoreRestored();
+            case LeaseEvent.Invalidated restored -> onInvalidated();
             case LeaseEvent.Release release -> onRelease(now);
         };
     }
@@ -232,10 +232,10 @@
     }
 
     /**
-     * Gives up the lease. A write in progress counts as not made, since it was conditional on a version that the store
-     * may have given out again; the next read shows what the store holds.
+     * Gives up the lease. A write in progress counts as not made: after a restore, it was conditional on a version that the
+     * store may have given out again. The next read shows what the store holds.
      */
-    private Optional<LeaseAction> onStoreRestored() {
+    private Optional<LeaseAction> onInvalidated() {
         tenure = null;
         writeInDoubt = null;
         observed = null;
--- a/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
+++ b/mangoridge-orders/src/test/java/org/mangoridge/orders/lease/LeaseMachineTest.java
@@ -239,7 +239,7 @@
         store.record = null;
         store.version = 0;
         store.era = 1;
-        first.on(new LeaseEvent.StoreRestored(), seconds(2));
+        first.on(new LeaseEvent.Invalidated(), seconds(2));
         assertThat(first.tenure(seconds(2))).isEmpty();
         run(second, seconds(2));
         assertThat(second.tenure(seconds(2)).orElseThrow().fencing().value()).isGreaterThan(lost);
@@ -252,7 +252,7 @@
         Optional<LeaseAction> read = machine.on(new LeaseEvent.Tick(true), seconds(1));
         LeaseAction write = machine.on(answer(read.orElseThrow()), seconds(1)).orElseThrow();
         LeaseEvent written = answer(write);
-        machine.on(new LeaseEvent.StoreRestored(), seconds(1));
+        machine.on(new LeaseEvent.Invalidated(), seconds(1));
         machine.on(written, seconds(1));
         assertThat(machine.tenure(seconds(1))).isEmpty();
     }
