--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.mangoridge.core.Checks;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
@@ -27,6 +28,11 @@
     /** Bounds the cache of parsed addresses; a fleet has few of them, and they recur in every report. */
     private static final int MAX_CACHED_ADDRESSES = 4096;
 
+    /** Bounds the requests of one instance on one server. */
+    private static final int MAX_REQUESTS = 1 << 20;
+    /** Bounds the tokens of one instance on one server. */
+    private static final long MAX_TOKENS = 1L << 40;
+
     private final Map<String, HostPort> addressCache = new HashMap<>();
 
     /** The content of a datagram: encoded reports, and whether the receiver is to forward them. */
@@ -78,8 +84,9 @@
         LoadBatch batch = new LoadBatch();
         try {
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
-        } catch (TException e) {
-            return Result.err(String.valueOf(e.getMessage()));
+        } catch (TException | RuntimeException e) {
+            // The library throws unchecked exceptions for some malformed messages.
+            return Result.err(String.valueOf(e));
         }
         List<byte[]> reports = new ArrayList<>();
         for (ByteBuffer report : batch.getReports()) {
@@ -96,6 +103,7 @@
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
             Map<ServerId, ServerLoad> loads = new HashMap<>();
             for (ServerShare share : message.getShares()) {
+                checkBounds(share);
                 loads.put(
                         ServerId.of(share.getServer()),
                         new ServerLoad(
@@ -119,11 +127,22 @@
                             message.getStoreEra(), message.getConfigVersion(), message.getServersRevision()),
                     message.isRelaying(),
                     message.isLeaving()));
-        } catch (TException | IllegalArgumentException e) {
-            return Result.err(String.valueOf(e.getMessage()));
+        } catch (TException | RuntimeException e) {
+            return Result.err(String.valueOf(e));
         }
     }
 
+    /** Sums of the loads of all instances must not overflow. */
+    private static void checkBounds(ServerShare share) {
+        Checks.argument(
+                share.getRequests() <= MAX_REQUESTS
+                        && share.getPrefillTokens() <= MAX_TOKENS
+                        && share.getKvTokens() <= MAX_TOKENS
+                        && share.getGrowthTokens() <= MAX_TOKENS,
+                "load on server %s is out of bounds",
+                share.getServer());
+    }
+
     private HostPort parseAddress(String text) {
         HostPort cached = addressCache.get(text);
         if (cached == null) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -159,12 +160,21 @@
         }
     }
 
-    /** Processes a datagram; returns the reports in it that were not stale, or why it could not be decoded. */
-    Result<List<ReceivedReport>, String> receive(byte[] bytes, HostPort from, Duration now) {
+    /**
+     * The content of a datagram.
+     *
+     * @param reports the reports that were not stale
+     * @param error why the datagram, or the last undecodable report in it, could not be decoded; empty if all could
+     */
+    record Reception(List<ReceivedReport> reports, Optional<String> error) {}
+
+    /** Processes a datagram; an undecodable report does not affect the others. */
+    Reception receive(byte[] bytes, HostPort from, Duration now) {
         Result<LoadCodec.Batch, String> batch = LoadCodec.decodeBatch(bytes);
         if (!batch.isOk()) {
-            return Result.err(batch.error());
+            return new Reception(List.of(), Optional.of(batch.error()));
         }
+        Optional<String> error = Optional.empty();
         boolean passOn = batch.value().passOn();
         plan.datagramReceived(from, passOn, now);
         if (passOn && !routes.subscribers().contains(from)) {
@@ -174,7 +184,8 @@
         for (byte[] encoded : batch.value().reports()) {
             Result<LoadReport, String> decoded = codec.decode(encoded);
             if (!decoded.isOk()) {
-                return Result.err(decoded.error());
+                error = Optional.of(decoded.error());
+                continue;
             }
             LoadReport report = decoded.value();
             if (report.origin().instance().equals(self.instance())) {
@@ -190,7 +201,7 @@
                 forward(new ReceivedReport(report, outcome), encoded, passOn, now);
             }
         }
-        return Result.ok(received);
+        return new Reception(received, error);
     }
 
     /** Schedules a reply to a relay or new instance; a new one sends as in a mesh until replies tell it of its peers. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.ScheduledFuture;
-import org.mangoridge.core.Result;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.InstanceId;
@@ -163,22 +162,20 @@
         HostPort from = new HostPort(
                 packet.sender().getAddress().getHostAddress(), packet.sender().getPort());
         Duration now = clock.elapsed();
-        Result<List<LoadGossip.ReceivedReport>, String> result =
-                gossip.receive(ByteBufUtil.getBytes(packet.content()), from, now);
-        if (!result.isOk()) {
-            log.log(
-                    LogEvent.PEER_CONNECTION_FAILED,
-                    Field.of("address", from),
-                    Field.of("detail", "undecodable load report: " + result.error()));
-            return;
-        }
-        for (LoadGossip.ReceivedReport received : result.value()) {
+        LoadGossip.Reception reception = gossip.receive(ByteBufUtil.getBytes(packet.content()), from, now);
+        reception
+                .error()
+                .ifPresent(error -> log.log(
+                        LogEvent.PEER_CONNECTION_FAILED,
+                        Field.of("address", from),
+                        Field.of("detail", "undecodable load report: " + error)));
+        for (LoadGossip.ReceivedReport received : reception.reports()) {
             LoadReport report = received.report();
             logMembershipChange(report, received.outcome(), from);
             loads.replacePeerLoads(report.origin().instance(), report.loads(), now);
         }
         schedule();
-        if (!result.value().isEmpty()) {
+        if (!reception.reports().isEmpty()) {
             onPeerLoadChange.run();
         }
     }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -101,7 +101,7 @@
         private void receive(byte[] bytes, HostPort from) {
             if (!stopped.contains(this)) {
                 gossip.receive(bytes, from, now)
-                        .value()
+                        .reports()
                         .forEach(received -> loads.replacePeerLoads(
                                 received.report().origin().instance(),
                                 received.report().loads(),
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -3,7 +3,14 @@
 import java.util.List;
 import java.util.Map;
 
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
@@ -14,9 +21,8 @@
 
 class LoadCodecTest {
 
-    @Test
-    void encodedReportsInABatchDecodeToTheSameReport() {
-        LoadReport report = new LoadReport(
+    private static LoadReport report(ServerLoad load) {
+        return new LoadReport(
                 new LoadReport.Origin(
                         InstanceId.of("entry-1"),
                         17,
@@ -24,11 +30,16 @@
                         AvailabilityZone.of("zone-a"),
                         750),
                 4,
-                Map.of(ServerId.of("s-1"), new ServerLoad(2, 3000, 9000, 1200)),
+                Map.of(ServerId.of("s-1"), load),
                 List.of(new HostPort("10.0.0.1", 7000)),
                 new LoadReport.StoreVersions(2, 12, 530),
                 true,
                 false);
+    }
+
+    @Test
+    void encodedReportsInABatchDecodeToTheSameReport() {
+        LoadReport report = report(new ServerLoad(2, 3000, 9000, 1200));
         byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), LoadCodec.encode(report)), true);
         LoadCodec.Batch batch = LoadCodec.decodeBatch(datagram).value();
         assertThat(batch.passOn()).isTrue();
@@ -45,4 +56,38 @@
         assertThat(LoadCodec.decodeBatch(new byte[] {1, 2, 3}).isOk()).isFalse();
         assertThat(LoadCodec.decodeBatch(new byte[0]).isOk()).isFalse();
     }
+
+    /** Sums over such loads would overflow and leave the totals of all instances wrong. */
+    @ParameterizedTest
+    @CsvSource({
+        "2147483647, 0, 0, 0",
+        "1, 9223372036854775807, 0, 0",
+        "1, 0, 9223372036854775807, 0",
+        "1, 0, 0, 9223372036854775807"
+    })
+    void aLoadOutOfBoundsIsRejected(int requests, long prefillTokens, long kvTokens, long growthTokens) {
+        byte[] encoded = LoadCodec.encode(report(new ServerLoad(requests, prefillTokens, kvTokens, growthTokens)));
+        assertThat(LoadCodec.create().decode(encoded).isOk()).isFalse();
+    }
+
+    /** Any datagram yields reports or an error; nothing is thrown into the event loop, and memory stays bounded. */
+    @Property(tries = 2000, seed = "20261204")
+    void alteredDatagramsAreDecodedOrRejected(
+            @ForAll @Size(max = 6) List<@IntRange(max = 511) Integer> positions, @ForAll @Size(6) byte[] values) {
+        byte[] encoded = LoadCodec.encode(report(new ServerLoad(2, 3000, 9000, 1200)));
+        byte[] datagram = LoadCodec.encodeBatch(List.of(encoded), true);
+        for (int i = 0; i < positions.size(); i++) {
+            datagram[positions.get(i) % datagram.length] = values[i];
+        }
+        Result<LoadCodec.Batch, String> batch = LoadCodec.decodeBatch(datagram);
+        if (batch.isOk()) {
+            batch.value().reports().forEach(report -> LoadCodec.create().decode(report));
+        }
+    }
+
+    @Property(tries = 2000, seed = "20261204")
+    void arbitraryDatagramsAreDecodedOrRejected(@ForAll @Size(max = 256) byte[] datagram) {
+        LoadCodec.decodeBatch(datagram);
+        LoadCodec.create().decode(datagram);
+    }
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
@@ -2,11 +2,16 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.net.HostPort;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -175,4 +180,24 @@
             assertFullMembership(fleet);
         }
     }
+
+    /** The load of the reports beside an undecodable one must not be lost: they would not be sent again. */
+    @Test
+    void anUndecodableReportDoesNotAffectTheOthersInItsDatagram() {
+        HostPort address = new HostPort("10.0.0.2", 7000);
+        LoadReport.Origin origin =
+                new LoadReport.Origin(InstanceId.of("entry-2"), 1, address, AvailabilityZone.of("a"), 750);
+        LoadReport report =
+                new LoadReport(origin, 1, Map.of(), List.of(), new LoadReport.StoreVersions(0, 1, 1), false, false);
+        LoadGossip gossip = LoadGossip.create(
+                new LoadReport.Origin(
+                        InstanceId.of("entry-1"), 1, new HostPort("10.0.0.1", 7000), AvailabilityZone.of("a"), 750),
+                PeerTable.create(new HostPort("10.0.0.1", 7000), List.of(), new SplittableRandom(1)),
+                Map::of,
+                () -> new LoadReport.StoreVersions(0, 1, 1));
+        byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), new byte[] {1, 2, 3}), false);
+        LoadGossip.Reception reception = gossip.receive(datagram, address, Duration.ZERO);
+        assertThat(reception.reports()).hasSize(1);
+        assertThat(reception.error()).isPresent();
+    }
 }
