--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -59,6 +59,8 @@
     SERVER_EJECTED(307, Level.WARNING, "server ejected"),
     /** The entry of a backend server can't be parsed; no server is listed for it. */
     SERVER_ENTRY_UNREADABLE(308, Level.WARNING, "server entry unreadable"),
+    /** The entry of a backend server is missing after an outage of the platform; the server is kept for a time. */
+    SERVER_ENTRY_MISSING(309, Level.INFO, "server entry missing"),
     /** A configuration was adopted. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -162,6 +162,11 @@
         return Optional.ofNullable(entries.get(id));
     }
 
+    /** Returns until when a server is kept though its entry is missing from the store; empty if it is not missing. */
+    public Optional<Duration> keptUntil(ServerId id) {
+        return Optional.ofNullable(missingUntil.get(id));
+    }
+
     /** Returns all entries, including those of leaving servers. */
     public Collection<ServerEntry> all() {
         return List.copyOf(entries.values());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -20,6 +20,7 @@
     private final Runnable onCapacityChange;
     private boolean hasServerList;
     private Optional<Boolean> reachable = Optional.empty();
+    private Duration unreachableSince = Duration.ZERO;
 
     ServerEvents(GatewayContext context, Runnable onCapacityChange) {
         this.context = context;
@@ -37,6 +38,7 @@
         context.directory().all().forEach(entry -> known.add(entry.id()));
         items.stream().filter(entry -> !known.contains(entry.id())).forEach(this::logListed);
         context.directory().replaceAll(items, context.clock().elapsed()).forEach(this::handleUnusable);
+        known.forEach(this::logIfMissing);
         retainTracks();
         onCapacityChange.run();
     }
@@ -52,18 +54,28 @@
 
     @Override
     public void removed(String name) {
-        context.directory().remove(ServerId.of(name), context.clock().elapsed()).ifPresent(this::handleUnusable);
+        ServerId id = ServerId.of(name);
+        context.directory().remove(id, context.clock().elapsed()).ifPresent(this::handleUnusable);
+        logIfMissing(id);
     }
 
     @Override
     public void reachable(boolean nowReachable, String detail) {
         context.directory().storeReachable(nowReachable, context.clock().elapsed());
         if (reachable.isEmpty() || reachable.get() != nowReachable) {
+            logReachability(nowReachable, detail);
             reachable = Optional.of(nowReachable);
-            context.log().log(
-                    nowReachable ? LogEvent.PLATFORM_BACK : LogEvent.PLATFORM_UNAVAILABLE,
-                    Field.of("what", "servers"),
-                    Field.of("detail", detail));
+        }
+    }
+
+    private void logReachability(boolean nowReachable, String detail) {
+        Duration now = context.clock().elapsed();
+        if (!nowReachable) {
+            unreachableSince = now;
+            context.log().log(LogEvent.PLATFORM_UNAVAILABLE, Field.of("what", "servers"), Field.of("detail", detail));
+        } else {
+            Duration outage = reachable.isEmpty() ? Duration.ZERO : now.minus(unreachableSince);
+            context.log().log(LogEvent.PLATFORM_BACK, Field.of("what", "servers"), Field.of("after_ms", outage));
         }
     }
 
@@ -88,6 +100,15 @@
                 Field.of("leaving", entry.leaving()));
     }
 
+    private void logIfMissing(ServerId id) {
+        context.directory()
+                .keptUntil(id)
+                .ifPresent(until -> context.log().log(
+                        LogEvent.SERVER_ENTRY_MISSING,
+                        Field.of("server", id),
+                        Field.of("for_ms", until.minus(context.clock().elapsed()))));
+    }
+
     private void handleUnusable(ServerEntry entry) {
         boolean gone = context.directory().find(entry.id()).isEmpty();
         context.pool().evict(entry.address());
