Count the grace for missing servers from the last evidence of the outage

Cause: after an outage an instance keeps servers whose entries are missing for 1.9 s, for those that write them again. The time started with its own first answer, which came up to 2.2 s after the path was whole (1 s to connect, 1.2 s of backoff), up to 3.7 s from a silent store; a path that only this instance had lost was treated the same. Class of fault: a belief that is kept because its source was away is given time from the moment the observer notices, not from the event. Change: a follower tells the latest time at which the store was certainly out of reach, the start of the last failed call; the grace ends a catch-up time (contact_ms of the platform) after that at the latest. Calls after a failure have 0.6 s, growing with the failures, and the pause between them is 0.45 s at most, so that live servers keep their whole grace: the second test, that no server which stays is removed in any outage, holds before and after.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -19,7 +19,8 @@
  *
  * <p>An entry can disappear from the store because its server left, or because it expired during an outage of the store.
  * When the store is reachable again, entries that disappear within {@link #RELISTING_GRACE} are kept until the end of
- * that time; at any other time, a server whose entry disappears is removed at once.
+ * that time; at any other time, a server whose entry disappears is removed at once. An instance notices late that the
+ * store is back, or that its own path to it works again, so that time is limited by the last evidence to the contrary.
  *
  * <p>A store that was restored from a copy lists entries as they were before: servers that drain as ready, and servers
  * that have left. Such entries change nothing; a run of a server that drains or has left is not used again unless it
@@ -33,6 +34,10 @@
     /** How long a server that left is remembered; a store is restored from a copy that is some seconds old. */
     static final Duration DEPARTED_RETENTION = Duration.ofMinutes(5);
 
+    /** Time for an expired server to be removed, and for requests on their way to it to arrive. */
+    private static final Duration REMOVAL_MARGIN = Duration.ofMillis(250);
+
+    private final Duration catchUpTime;
     private final Map<ServerId, ServerEntry> entries = new HashMap<>();
     private final Map<ServerId, Duration> missingUntil = new HashMap<>();
     /** The last entries of servers that left, for {@link #DEPARTED_RETENTION}; the oldest first. */
@@ -40,33 +45,53 @@
 
     private final Map<ServiceId, List<ServerEntry>> usableByService = new HashMap<>();
     private Duration relistingUntil = Duration.ZERO;
-    private boolean storeReachable;
+    /** The latest time at which the store certainly could not be reached; null if it is reachable. */
+    private Duration unreachableAsOf;
+
     private boolean loaded;
 
     private record Departed(ServerEntry last, Duration until) {}
 
-    private ServerDirectory() {}
+    private ServerDirectory(Duration catchUpTime) {
+        this.catchUpTime = catchUpTime;
+    }
+
+    /**
+     * Creates an empty directory.
+     *
+     * @param catchUpTime the time after the store has become reachable in which servers that left must be out of use
+     */
+    public static ServerDirectory create(Duration catchUpTime) {
+        return new ServerDirectory(catchUpTime);
+    }
 
-    /** Creates an empty directory. */
-    public static ServerDirectory create() {
-        return new ServerDirectory();
+    /** Records that the store could not be reached, certainly until {@code asOf}. */
+    public void storeUnreachable(Duration asOf) {
+        unreachableAsOf = asOf;
     }
 
-    /** Records whether the store is reachable. */
-    public void storeReachable(boolean reachable, Duration now) {
-        if (reachable && !storeReachable) {
-            relistingUntil = now.plus(RELISTING_GRACE);
-            missingUntil.replaceAll((id, until) -> relistingUntil);
+    /** Records that the store answered. */
+    public void storeReachable(Duration now) {
+        if (unreachableAsOf != null) {
+            startRelisting(now);
+            unreachableAsOf = null;
         }
-        storeReachable = reachable;
     }
 
-    /** Records that the store was restored from a copy; live servers whose entries it lost write them again. */
-    public void storeRestored(Duration now) {
+    private void startRelisting(Duration now) {
         relistingUntil = now.plus(RELISTING_GRACE);
+        if (unreachableAsOf != null) {
+            Duration limit = unreachableAsOf.plus(catchUpTime).minus(REMOVAL_MARGIN);
+            relistingUntil = relistingUntil.compareTo(limit) <= 0 ? relistingUntil : limit;
+        }
         missingUntil.replaceAll((id, until) -> relistingUntil);
     }
 
+    /** Records that the store was restored from a copy; live servers whose entries it lost write them again. */
+    public void storeRestored(Duration now) {
+        startRelisting(now);
+    }
+
     /** Replaces all entries by the listed ones; returns the servers that are no longer usable. */
     public List<ServerEntry> replaceAll(Collection<ServerEntry> listed, Duration now) {
         loaded = true;
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/FeedListener.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/FeedListener.java
@@ -1,5 +1,6 @@
 package org.mangoridge.dispatch.follow;
 
+import java.time.Duration;
 import java.util.List;
 
 /** Receives the objects of one kind and their changes; called on the event loop. */
@@ -14,6 +15,14 @@
     /** Called when an object was removed. */
     void removed(String name);
 
-    /** Called after each call to the store that shows whether it is reachable; {@code detail} describes the failure. */
-    void reachable(boolean reachable, String detail);
+    /** Called after each call that the store answered. */
+    void reachable();
+
+    /**
+     * Called after each call that did not reach the store.
+     *
+     * @param asOf the latest time at which the store certainly could not be reached, on the monotonic clock
+     * @param detail a description for the log
+     */
+    void unreachable(Duration asOf, String detail);
 }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 
 import org.mangoridge.core.Result;
+import org.mangoridge.core.time.Clock;
 
 /**
  * Tracks the objects of one kind: lists them, then watches from the revision of the list; used on the event loop.
@@ -23,13 +24,22 @@
     /** Duration of the first watch after a failure, short so that its answer soon shows that the store is reachable. */
     private static final Duration PROBE_WAIT = Duration.ofMillis(10);
 
+    /** Time limit of a call; allows for a slow store, which takes up to a hundred times the usual few milliseconds. */
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(2500);
+    /** Time limit of a call after a failure; a call that was sent just before the store returned must end soon. */
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(600);
+    /** Failures after which that limit doubles, so that a store that is slower than it is reached in the end. */
+    private static final int FAILURES_PER_DOUBLING = 8;
+    /** Time that TCP keep-alive takes from its last unanswered probe to the end of the connection. */
+    private static final Duration BREAK_DETECTION_TIME = Duration.ofSeconds(1);
+
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(100);
-    private static final Duration MAX_BACKOFF = Duration.ofMillis(800);
 
-    private final Duration batchDelay;
+    private final Pacing pacing;
     private final ObjectFeed<T> feed;
     private final FeedListener<T> listener;
     private final BiConsumer<Duration, Runnable> timer;
+    private final Clock clock;
     private final RandomGenerator random;
     private final List<T> collected = new ArrayList<>();
     private Duration backoff = INITIAL_BACKOFF;
@@ -41,34 +51,48 @@
     /** Increased by each restart; answers of calls from earlier epochs are ignored. */
     private int epoch;
 
-    private boolean failing;
+    /** Failures in a row to reach the store. */
+    private int failures;
+
+    private Duration callStarted = Duration.ZERO;
+    private boolean waitingForChanges;
+
+    /**
+     * The intervals between calls.
+     *
+     * @param batchDelay how long to wait after changes before the next watch, so that one costly call returns several
+     * @param maxBackoff the longest mean time between a failed call and the next; the actual one varies by half of it
+     */
+    public record Pacing(Duration batchDelay, Duration maxBackoff) {}
 
     private Follower(
             ObjectFeed<T> feed,
             FeedListener<T> listener,
-            Duration batchDelay,
+            Pacing pacing,
             BiConsumer<Duration, Runnable> timer,
+            Clock clock,
             RandomGenerator random) {
-        this.batchDelay = batchDelay;
+        this.pacing = pacing;
         this.feed = feed;
         this.listener = listener;
         this.timer = timer;
+        this.clock = clock;
         this.random = random;
     }
 
     /**
      * Creates a follower; {@link #restart} starts it.
      *
-     * @param batchDelay how long to wait after changes before the next watch, so that one costly call returns several
      * @param timer runs a task on the event loop after a delay
      */
     public static <T> Follower<T> create(
             ObjectFeed<T> feed,
             FeedListener<T> listener,
-            Duration batchDelay,
+            Pacing pacing,
             BiConsumer<Duration, Runnable> timer,
+            Clock clock,
             RandomGenerator random) {
-        return new Follower<>(feed, listener, batchDelay, timer, random);
+        return new Follower<>(feed, listener, pacing, timer, clock, random);
     }
 
     /** Lists the objects and watches from there; the answer of a call in progress is ignored. */
@@ -107,7 +131,9 @@
     }
 
     private void list(Optional<String> after, int callEpoch) {
-        feed.list(after, answer -> {
+        callStarted = clock.elapsed();
+        waitingForChanges = false;
+        feed.list(after, timeout(), answer -> {
             if (callEpoch != epoch) {
                 return;
             }
@@ -138,7 +164,9 @@
     }
 
     private void watch(int callEpoch) {
-        feed.watch(revision, failing ? PROBE_WAIT : WATCH_WAIT, answer -> {
+        callStarted = clock.elapsed();
+        waitingForChanges = failures == 0;
+        feed.watch(revision, waitingForChanges ? WATCH_WAIT : PROBE_WAIT, timeout(), answer -> {
             if (callEpoch != epoch) {
                 return;
             }
@@ -158,7 +186,7 @@
             return;
         }
         // Before the listener is called, so that the watch goes on if it fails.
-        timer.accept(batchDelay, () -> {
+        timer.accept(pacing.batchDelay(), () -> {
             if (callEpoch == epoch) {
                 watch(callEpoch);
             }
@@ -181,12 +209,12 @@
 
     private void failed(FeedFailure failure, Runnable retry) {
         if (failure.kind() == FeedFailure.Kind.UNAVAILABLE) {
-            failing = true;
-            listener.reachable(false, failure.detail());
+            failures++;
+            listener.unreachable(unreachableAsOf(), failure.detail());
         }
         int callEpoch = epoch;
         Duration delay = Duration.ofNanos((long) (backoff.toNanos() * (0.5 + random.nextDouble())));
-        backoff = backoff.multipliedBy(2).compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : backoff.multipliedBy(2);
+        backoff = min(backoff.multipliedBy(2), pacing.maxBackoff());
         timer.accept(delay, () -> {
             if (callEpoch == epoch) {
                 retry.run();
@@ -194,9 +222,34 @@
         });
     }
 
+    private Duration timeout() {
+        if (failures == 0) {
+            return CALL_TIMEOUT;
+        }
+        int doublings = Math.min(failures / FAILURES_PER_DOUBLING, Integer.SIZE);
+        return min(PROBE_TIMEOUT.multipliedBy(1L << doublings), CALL_TIMEOUT);
+    }
+
+    /**
+     * Returns the latest time at which the store certainly could not be reached, when a call has failed.
+     *
+     * <p>The store may have come back as soon as the call was sent, and the answer may have been lost. A connection that
+     * broke while the call waited for changes had been working until then.
+     */
+    private Duration unreachableAsOf() {
+        Duration now = clock.elapsed();
+        Duration took = now.minus(callStarted);
+        boolean broke = waitingForChanges && took.compareTo(WATCH_WAIT) < 0;
+        return broke ? now.minus(min(took, BREAK_DETECTION_TIME)) : callStarted;
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
+    }
+
     private void recordSuccess() {
         backoff = INITIAL_BACKOFF;
-        failing = false;
-        listener.reachable(true, "");
+        failures = 0;
+        listener.reachable();
     }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -17,11 +17,12 @@
 class ServerDirectoryTest {
 
     private static final ServiceId SERVICE = ServiceId.of("desk");
+    private static final Duration CATCH_UP_TIME = Duration.ofSeconds(3);
     private static final Duration START = Duration.ofSeconds(100);
     private static final Duration AFTER_GRACE =
             START.plus(ServerDirectory.RELISTING_GRACE).plusSeconds(1);
 
-    private final ServerDirectory directory = ServerDirectory.create();
+    private final ServerDirectory directory = ServerDirectory.create(CATCH_UP_TIME);
 
     static ServerEntry entry(String id, boolean leaving, long startedMillis) {
         return entry(id, leaving, startedMillis, ServerEntry.UNKNOWN_SEQUENCE);
@@ -42,7 +43,7 @@
 
     @BeforeEach
     void listServersWithReachableStore() {
-        directory.storeReachable(true, START);
+        directory.storeReachable(START);
         directory.put(entry("s-1", false, 1));
         directory.put(entry("s-2", false, 1));
     }
@@ -68,9 +69,9 @@
     /** Entries expire during an outage of the store; live servers are listed again within two seconds after it. */
     @Test
     void anEntryMissingAfterAnOutageIsKeptForTheGrace() {
-        directory.storeReachable(false, AFTER_GRACE);
         Duration recovered = AFTER_GRACE.plusSeconds(5);
-        directory.storeReachable(true, recovered);
+        directory.storeUnreachable(recovered);
+        directory.storeReachable(recovered);
         assertThat(directory.replaceAll(List.of(entry("s-2", false, 1)), recovered))
                 .isEmpty();
         assertThat(usable()).containsExactly("s-1", "s-2");
@@ -79,11 +80,23 @@
         assertThat(usable()).containsExactly("s-2");
     }
 
+    /** Guards against incident sleepover-2: the grace started with the first answer, long after the path was whole. */
+    @Test
+    void theGraceEndsInTimeThoughTheStoreIsReachedLate() {
+        Duration failed = AFTER_GRACE.plusSeconds(5);
+        directory.storeUnreachable(failed);
+        Duration recovered = failed.plusMillis(2200);
+        directory.storeReachable(recovered);
+        directory.replaceAll(List.of(entry("s-2", false, 1)), recovered);
+        directory.expire(failed.plus(CATCH_UP_TIME).minusMillis(200));
+        assertThat(usable()).containsExactly("s-2");
+    }
+
     @Test
     void aServerListedAgainWithinTheGraceStays() {
-        directory.storeReachable(false, AFTER_GRACE);
         Duration recovered = AFTER_GRACE.plusSeconds(5);
-        directory.storeReachable(true, recovered);
+        directory.storeUnreachable(recovered);
+        directory.storeReachable(recovered);
         directory.replaceAll(List.of(), recovered);
         directory.put(entry("s-1", false, 1));
         directory.expire(recovered.plus(ServerDirectory.RELISTING_GRACE));
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
@@ -10,33 +10,50 @@
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.Result;
+import org.mangoridge.core.time.VirtualClock;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class FollowerTest {
 
+    private final VirtualClock clock = VirtualClock.create();
     private final FakeFeed feed = new FakeFeed();
     private final RecordingListener listener = new RecordingListener();
     private final Deque<Runnable> timers = new ArrayDeque<>();
     private final Follower<String> follower = Follower.create(
-            feed, listener, Duration.ofMillis(1), (delay, task) -> timers.add(task), new SplittableRandom(3));
+            feed,
+            listener,
+            new Follower.Pacing(Duration.ofMillis(1), Duration.ofMillis(800)),
+            (delay, task) -> timers.add(task),
+            clock,
+            new SplittableRandom(3));
 
     private static final class FakeFeed implements ObjectFeed<String> {
         final List<String> calls = new ArrayList<>();
         Consumer<Result<FeedPage<String>, FeedFailure>> list;
         Consumer<Result<FeedChanges<String>, FeedFailure>> watch;
         Duration lastWait;
+        Duration lastTimeout;
 
         @Override
-        public void list(Optional<String> after, Consumer<Result<FeedPage<String>, FeedFailure>> answer) {
+        public void list(
+                Optional<String> after, Duration timeout, Consumer<Result<FeedPage<String>, FeedFailure>> answer) {
+            lastTimeout = timeout;
             calls.add("list " + after.orElse(""));
             list = answer;
         }
 
         @Override
-        public void watch(long revision, Duration wait, Consumer<Result<FeedChanges<String>, FeedFailure>> answer) {
+        public void watch(
+                long revision,
+                Duration wait,
+                Duration timeout,
+                Consumer<Result<FeedChanges<String>, FeedFailure>> answer) {
+            lastTimeout = timeout;
             calls.add("watch " + revision);
             lastWait = wait;
             watch = answer;
@@ -47,6 +64,7 @@
         final List<String> items = new ArrayList<>();
         boolean reachable;
         boolean failing;
+        Duration unreachableAsOf;
 
         @Override
         public void replaced(List<String> all) {
@@ -68,8 +86,14 @@
         }
 
         @Override
-        public void reachable(boolean now, String detail) {
-            reachable = now;
+        public void reachable() {
+            reachable = true;
+        }
+
+        @Override
+        public void unreachable(Duration asOf, String detail) {
+            reachable = false;
+            unreachableAsOf = asOf;
         }
     }
 
@@ -137,6 +161,36 @@
         assertThat(feed.lastWait).isEqualTo(Follower.WATCH_WAIT);
     }
 
+    /** The grace for servers whose entries are missing is counted from this time. */
+    @ParameterizedTest
+    @CsvSource({"400, 0", "5000, 4000", "17400, 0"})
+    void aFailureTellsWhenTheStoreWasCertainlyOutOfReach(long failedAfterMillis, long unreachableAsOfMillis) {
+        listed(5, "a");
+        clock.advance(Duration.ofMillis(failedAfterMillis));
+        feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+        assertThat(listener.unreachableAsOf).isEqualTo(Duration.ofMillis(unreachableAsOfMillis));
+        timers.poll().run();
+        Duration probed = clock.elapsed();
+        clock.advance(feed.lastTimeout);
+        feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+        assertThat(listener.unreachableAsOf).isEqualTo(probed);
+    }
+
+    /** A store that takes longer than the first time limit after a failure must be reached in the end. */
+    @Test
+    void theTimeLimitOfCallsGrowsWithTheFailures() {
+        listed(5, "a");
+        Duration usual = feed.lastTimeout;
+        feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+        timers.poll().run();
+        assertThat(feed.lastTimeout).isLessThan(Duration.ofSeconds(1));
+        for (int i = 0; i < 30; i++) {
+            feed.watch.accept(failure(FeedFailure.Kind.UNAVAILABLE));
+            timers.poll().run();
+        }
+        assertThat(feed.lastTimeout).isEqualTo(usual);
+    }
+
     @Test
     void aRateLimitDoesNotMarkTheStoreUnreachable() {
         listed(5, "a");
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreOutageSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreOutageSimulation.java
@@ -37,13 +37,15 @@
     /** TCP keep-alive ends a connection whose peer is silent for this long. */
     private static final Duration KEEP_ALIVE_TIME = Duration.ofSeconds(3);
 
+    private static final Follower.Pacing PACING = new Follower.Pacing(Duration.ofMillis(600), Duration.ofMillis(300));
+
     private static final Duration TICK = Duration.ofMillis(100);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
 
     private final Outage outage;
     private final SplittableRandom random;
     private final VirtualClock clock = VirtualClock.create();
-    private final ServerDirectory directory = ServerDirectory.create();
+    private final ServerDirectory directory = ServerDirectory.create(CONTACT_BOUND);
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::number));
     private final Map<ServerId, Duration> leases = new TreeMap<>();
@@ -78,8 +80,10 @@
 
     private final class Feed implements ObjectFeed<ServerEntry> {
         @Override
-        public void list(Optional<String> after, Consumer<Result<FeedPage<ServerEntry>, FeedFailure>> answer) {
+        public void list(
+                Optional<String> after, Duration timeout, Consumer<Result<FeedPage<ServerEntry>, FeedFailure>> answer) {
             call(
+                    timeout,
                     answer,
                     () -> answer.accept(Result.ok(new FeedPage<>(
                             leases.keySet().stream()
@@ -92,8 +96,11 @@
 
         @Override
         public void watch(
-                long revision, Duration wait, Consumer<Result<FeedChanges<ServerEntry>, FeedFailure>> answer) {
-            call(answer, () -> {
+                long revision,
+                Duration wait,
+                Duration timeout,
+                Consumer<Result<FeedChanges<ServerEntry>, FeedFailure>> answer) {
+            call(timeout, answer, () -> {
                 if (revision < oldestRevision) {
                     answer.accept(failure(FeedFailure.Kind.HISTORY_GONE));
                     return;
@@ -127,8 +134,13 @@
         }
 
         @Override
-        public void reachable(boolean reachable, String detail) {
-            directory.storeReachable(reachable, clock.elapsed());
+        public void reachable() {
+            directory.storeReachable(clock.elapsed());
+        }
+
+        @Override
+        public void unreachable(Duration asOf, String detail) {
+            directory.storeUnreachable(asOf);
         }
     }
 
@@ -144,8 +156,7 @@
             ServerId id = ServerId.of("s-" + i);
             in(Duration.ofMillis(random.nextInt((int) HEARTBEAT.toMillis())), () -> heartbeat(id));
         }
-        Follower<ServerEntry> follower =
-                Follower.create(new Feed(), new Listener(), Duration.ofMillis(600), this::in, random);
+        Follower<ServerEntry> follower = Follower.create(new Feed(), new Listener(), PACING, this::in, clock, random);
         in(Duration.ofSeconds(2), follower::restart);
         in(OUTAGE_START, this::outageStarts);
         Duration leaves = OUTAGE_START.plusMillis(200L + random.nextInt(2000));
@@ -178,14 +189,16 @@
         return clock.elapsed().compareTo(OUTAGE_START) >= 0 && clock.elapsed().compareTo(outageEnd) < 0;
     }
 
-    private <V> void call(Consumer<Result<V, FeedFailure>> answer, Runnable served) {
+    private <V> void call(Duration timeout, Consumer<Result<V, FeedFailure>> answer, Runnable served) {
         if (!outageNow()) {
             in(ROUND_TRIP, served);
         } else if (outage == Outage.FAILING_STORE) {
             in(ROUND_TRIP, () -> answer.accept(failure(FeedFailure.Kind.UNAVAILABLE)));
         } else {
-            Duration timeout = outage.isPartition() ? Duration.ofSeconds(1) : Duration.ofMillis(2500);
-            in(timeout, () -> answer.accept(failure(FeedFailure.Kind.UNAVAILABLE)));
+            // A connection that can't be established ends a call after half of its time limit.
+            in(
+                    outage.isPartition() ? timeout.dividedBy(2) : timeout,
+                    () -> answer.accept(failure(FeedFailure.Kind.UNAVAILABLE)));
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ConfigEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ConfigEvents.java
@@ -1,5 +1,6 @@
 package org.mangoridge.gateway.node;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -49,13 +50,18 @@
     }
 
     @Override
-    public void reachable(boolean nowReachable, String detail) {
-        if (reachable.isEmpty() || reachable.get() != nowReachable) {
-            reachable = Optional.of(nowReachable);
-            log.log(
-                    nowReachable ? LogEvent.PLATFORM_BACK : LogEvent.PLATFORM_UNAVAILABLE,
-                    Field.of("what", "configuration"),
-                    Field.of("detail", detail));
+    public void reachable() {
+        if (!reachable.orElse(false)) {
+            log.log(LogEvent.PLATFORM_BACK, Field.of("what", "configuration"));
+        }
+        reachable = Optional.of(true);
+    }
+
+    @Override
+    public void unreachable(Duration asOf, String detail) {
+        if (reachable.orElse(true)) {
+            log.log(LogEvent.PLATFORM_UNAVAILABLE, Field.of("what", "configuration"), Field.of("detail", detail));
         }
+        reachable = Optional.of(false);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -57,6 +57,10 @@
     private static final Duration REQUEST_REFUSAL_MARGIN = Duration.ofMillis(1800);
     /** Delay that batches server changes, as a share of the time within which a draining server must be known. */
     private static final double SERVER_DELAY_SHARE = 0.3;
+    /** Longest mean pause between attempts to reach the store; a server that left must be known soon after its return. */
+    private static final Duration SERVERS_MAX_BACKOFF = Duration.ofMillis(300);
+    /** The same for the configuration, which has more time; a fleet must not exceed the call rate of the store. */
+    private static final Duration CONFIG_MAX_BACKOFF = Duration.ofMillis(800);
     /** Delay that batches configuration changes, which are rare and must be in force within two seconds. */
     private static final Duration CONFIG_DELAY = Duration.ofMillis(100);
     /** Delay before the store is queried for a configuration that a peer has and this instance has not received. */
@@ -141,9 +145,20 @@
         this.era = feeds.era();
         this.serverEvents = new ServerEvents(context, router::placeWaitingRequests);
         this.serverDelay = Duration.ofNanos((long) (settings.drainNotice().toNanos() * SERVER_DELAY_SHARE));
-        this.serverFollower = Follower.create(feeds.servers(), serverEvents, serverDelay, this::defer, random);
+        this.serverFollower = Follower.create(
+                feeds.servers(),
+                serverEvents,
+                new Follower.Pacing(serverDelay, SERVERS_MAX_BACKOFF),
+                this::defer,
+                clock,
+                random);
         this.configFollower = Follower.create(
-                feeds.configs(), new ConfigEvents(router, log, context.metrics()), CONFIG_DELAY, this::defer, random);
+                feeds.configs(),
+                new ConfigEvents(router, log, context.metrics()),
+                new Follower.Pacing(CONFIG_DELAY, CONFIG_MAX_BACKOFF),
+                this::defer,
+                clock,
+                random);
     }
 
     private static GatewayContext createContext(
@@ -154,7 +169,7 @@
             EventSink log,
             WireDialect dialect) {
         UpstreamPool pool = UpstreamPool.create(loop, clock);
-        ServerDirectory directory = ServerDirectory.create();
+        ServerDirectory directory = ServerDirectory.create(settings.catchUpTime());
         LoadTracker loads = LoadTracker.create();
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -25,6 +25,7 @@
  * @param retryAllowance the retries allowed in addition per window, for all instances together
  * @param retryWindow the length of that window
  * @param drainNotice the time within which a server that drains must get no new requests
+ * @param catchUpTime the time after the store has become reachable in which an instance must act on what the store says
  * @param handoverDelay the least time between orders of two successive lease holders to the same server
  * @param grace the time from the shutdown signal until the process is killed
  */
@@ -43,6 +44,7 @@
         double retryAllowance,
         Duration retryWindow,
         Duration drainNotice,
+        Duration catchUpTime,
         Duration handoverDelay,
         Duration grace) {
 
@@ -56,6 +58,7 @@
         Checks.argument(retryAllowance >= 0, "retry allowance must not be negative: %s", retryAllowance);
         Checks.argument(retryWindow.isPositive(), "retry window must be positive: %s", retryWindow);
         Checks.argument(drainNotice.isPositive(), "drain notice must be positive: %s", drainNotice);
+        Checks.argument(catchUpTime.isPositive(), "catch-up time must be positive: %s", catchUpTime);
         Checks.argument(!handoverDelay.isNegative(), "handover delay must not be negative: %s", handoverDelay);
         Checks.argument(grace.isPositive(), "grace must be positive: %s", grace);
         seeds = List.copyOf(seeds);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -60,23 +60,24 @@
     }
 
     @Override
-    public void reachable(boolean nowReachable, String detail) {
-        context.directory().storeReachable(nowReachable, context.clock().elapsed());
-        if (reachable.isEmpty() || reachable.get() != nowReachable) {
-            logReachability(nowReachable, detail);
-            reachable = Optional.of(nowReachable);
+    public void reachable() {
+        Duration now = context.clock().elapsed();
+        context.directory().storeReachable(now);
+        if (!reachable.orElse(false)) {
+            Duration outage = reachable.isEmpty() ? Duration.ZERO : now.minus(unreachableSince);
+            context.log().log(LogEvent.PLATFORM_BACK, Field.of("what", "servers"), Field.of("after_ms", outage));
         }
+        reachable = Optional.of(true);
     }
 
-    private void logReachability(boolean nowReachable, String detail) {
-        Duration now = context.clock().elapsed();
-        if (!nowReachable) {
-            unreachableSince = now;
+    @Override
+    public void unreachable(Duration asOf, String detail) {
+        context.directory().storeUnreachable(asOf);
+        if (reachable.orElse(true)) {
+            unreachableSince = context.clock().elapsed();
             context.log().log(LogEvent.PLATFORM_UNAVAILABLE, Field.of("what", "servers"), Field.of("detail", detail));
-        } else {
-            Duration outage = reachable.isEmpty() ? Duration.ZERO : now.minus(unreachableSince);
-            context.log().log(LogEvent.PLATFORM_BACK, Field.of("what", "servers"), Field.of("after_ms", outage));
         }
+        reachable = Optional.of(false);
     }
 
     /** Keeps servers whose entries the store lost when it was restored, until they had time to write them again. */
