Remember servers that were removed at the end of the grace

Cause: only a removal outside the grace was remembered; one at its end was not, so that the older entry counted as a new server. Both are remembered now. The new case of ServerDirectoryTest failed before: s-1 was usable.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -154,8 +154,13 @@
             missingUntil.putIfAbsent(id, relistingUntil);
             return Optional.empty();
         }
-        departed.put(id, new Departed(entry, now.plus(DEPARTED_RETENTION)));
-        return drop(id);
+        return depart(id, now);
+    }
+
+    private Optional<ServerEntry> depart(ServerId id, Duration now) {
+        Optional<ServerEntry> last = drop(id);
+        last.ifPresent(entry -> departed.put(id, new Departed(entry, now.plus(DEPARTED_RETENTION))));
+        return last;
     }
 
     /** Removes a server that is known to be gone, such as one whose address another server uses now. */
@@ -171,7 +176,7 @@
         List<ServerEntry> gone = new ArrayList<>();
         for (Map.Entry<ServerId, Duration> each : List.copyOf(missingUntil.entrySet())) {
             if (now.compareTo(each.getValue()) >= 0) {
-                drop(each.getKey()).ifPresent(gone::add);
+                depart(each.getKey(), now).ifPresent(gone::add);
             }
         }
         return gone;
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -119,6 +119,20 @@
         assertThat(usable()).containsExactly("s-2");
     }
 
+    /** The same for a server that was removed at the end of the grace, since its entry was missing after an outage. */
+    @Test
+    void aServerThatLeftDuringAnOutageIsNotUsedAgainAfterARestore() {
+        directory.put(entry("s-1", false, 1, 7));
+        directory.storeUnreachable(AFTER_GRACE);
+        directory.storeReachable(AFTER_GRACE);
+        directory.remove(ServerId.of("s-1"), AFTER_GRACE);
+        Duration expired = AFTER_GRACE.plus(ServerDirectory.RELISTING_GRACE);
+        directory.expire(expired);
+        directory.storeRestored(expired);
+        directory.replaceAll(List.of(entry("s-1", false, 1, 5), entry("s-2", false, 1)), expired);
+        assertThat(usable()).containsExactly("s-2");
+    }
+
     @Test
     void aServerThatDrainsBeforeARestoreIsNotUsedAgain() {
         directory.put(entry("s-1", true, 1, 7));
