Query the store again while a peer has a change that does not arrive

When a peer reported a newer change of servers, the watch was started anew, once for each revision. That call can hang as the first did, on a pooled connection that is silent: TCP keep-alive does not probe while bytes are unacknowledged, so that it ends after its own 17.5 s. Class of fault: a request for news is taken for the news. StoreLag compares what this instance has with what peers have, several times a second, and the query is due again until it succeeds, after growing times; a follower that fails already repeats its call by itself.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -120,6 +120,11 @@
         return newestChange;
     }
 
+    /** Returns whether the last call did not reach the store; it is being repeated. */
+    public boolean isFailing() {
+        return failures > 0;
+    }
+
     /** Starts a new watch from the known revision; the answer of a call in progress is ignored. */
     public void restartWatch() {
         if (revision < 0) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -25,6 +25,7 @@
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.follow.Follower;
 import org.mangoridge.dispatch.follow.StoreEra;
+import org.mangoridge.dispatch.follow.StoreLag;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.RequestRouter;
@@ -83,7 +84,8 @@
     private final Follower<GatewayConfig> configFollower;
     private final Follower<ServerEntry> serverFollower;
     private final ServerEvents serverEvents;
-    private final Duration serverDelay;
+    private final StoreLag configLag;
+    private final StoreLag serversLag;
     private final StageController stages;
     private final StoreEra era;
     private final CountDownLatch terminated = new CountDownLatch(1);
@@ -91,8 +93,6 @@
     private Duration lastSweep = Duration.ZERO;
     private Duration drainingSince;
     private final ShutdownPlan shutdownPlan;
-    private long requestedConfigVersion = -1;
-    private long requestedServersRevision = -1;
     private boolean wasReady;
     private boolean stopped;
 
@@ -144,7 +144,9 @@
                 feeds.era());
         this.era = feeds.era();
         this.serverEvents = new ServerEvents(context, router::placeWaitingRequests);
-        this.serverDelay = Duration.ofNanos((long) (settings.drainNotice().toNanos() * SERVER_DELAY_SHARE));
+        Duration serverDelay = Duration.ofNanos((long) (settings.drainNotice().toNanos() * SERVER_DELAY_SHARE));
+        this.serversLag = StoreLag.create(serverDelay.plus(SERVERS_CATCH_UP_MARGIN));
+        this.configLag = StoreLag.create(CONFIG_CATCH_UP_DELAY);
         this.serverFollower = Follower.create(
                 feeds.servers(),
                 serverEvents,
@@ -250,29 +252,20 @@
             // Revisions of different eras can't be compared, and the next answer of the store shows its era.
             return;
         }
-        long config = newest.configVersion();
-        if (config > configVersion() && config > requestedConfigVersion) {
-            requestedConfigVersion = config;
-            defer(CONFIG_CATCH_UP_DELAY, () -> {
-                if (configVersion() < config) {
-                    configFollower.restart();
-                }
-            });
+        Duration now = clock.elapsed();
+        // A follower that does not reach the store repeats its call by itself.
+        if (configLag.queryDue(configVersion(), newest.configVersion(), now) && !configFollower.isFailing()) {
+            configFollower.restart();
         }
-        long servers = newest.serversRevision();
-        if (servers > serverFollower.revision() && servers > requestedServersRevision) {
-            requestedServersRevision = servers;
-            defer(serverDelay.plus(SERVERS_CATCH_UP_MARGIN), () -> {
-                if (serverFollower.revision() < servers) {
-                    serverFollower.restartWatch();
-                }
-            });
+        if (serversLag.queryDue(serverFollower.revision(), newest.serversRevision(), now)
+                && !serverFollower.isFailing()) {
+            serverFollower.restartWatch();
         }
     }
 
     private void storeRestored(long newEra) {
         log.log(LogEvent.PLATFORM_RESTORED, Field.of("era", newEra), Field.of("config", configVersion()));
-        requestedServersRevision = -1;
+        serversLag.reset();
         serverEvents.storeRestored();
         stages.storeRestored();
         configFollower.storeRestored();
@@ -308,6 +301,7 @@
         }
         serverEvents.expire(now);
         loadGossip.tick();
+        catchUpWithPeers();
         List.of(front, status, metrics).forEach(FrontServer::closeTimedOut);
         if (now.minus(lastSweep).compareTo(POOL_SWEEP_INTERVAL) >= 0) {
             lastSweep = now;
