--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -268,7 +268,11 @@
     private void retryOrGiveUp(ServerEntry server, Verdict verdict, String detail) {
         boolean retrying = !ended && acquireRetry(verdict);
         scope.logAttemptFailed(
-                server.id(), detail, Field.of("repeated", retrying), Field.of("delivered", responseStarted));
+                server.id(),
+                detail,
+                Field.of("repeated", retrying),
+                Field.of("delivered", responseStarted),
+                Field.of("parts", scope.caller().sharedParts()));
         if (retrying) {
             placeOrEnqueue();
         } else if (responseStarted) {
