Quarantine prompts with a part that crashes servers

Cause: nothing remembers what a server was answering when it ended; each such request is placed as if it were new, and what an instance learns of a server is kept by its id, which is new after each crash. Class of fault: query of death, without containment. Change: PromptQuarantine (mangoridge-dispatch) weighs which parts explain crashes that no other part explains, against sound answers to prompts with the same part; a server crashed if its connection broke as it began to answer, it refuses the next one and had not said that it leaves. Requests with such a part are refused at once as quarantined (503, not run), also while they wait, after their prefill and instead of a repeat; sound requests with the same first part go on.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -61,6 +61,10 @@
     SERVER_ENTRY_UNREADABLE(308, Level.WARNING, "server entry unreadable"),
     /** The entry of a backend server is missing after an outage of the platform; the server is kept for a time. */
     SERVER_ENTRY_MISSING(309, Level.INFO, "server entry missing"),
+    /** A backend server crashed while it was about to answer prompts, or had just begun to. */
+    SERVER_CRASHED(310, Level.WARNING, "server crashed"),
+    /** The parts of prompts that are kept from servers because they crash them have changed. */
+    QUARANTINE_CHANGED(311, Level.WARNING, "quarantine changed"),
     /** A configuration was adopted. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- a/mangoridge-core/src/main/java/org/mangoridge/core/verdict/RefusalReason.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/verdict/RefusalReason.java
@@ -16,6 +16,8 @@
     TARGET_UNREACHABLE("target_unreachable", 503),
     /** No server of the service has free capacity. */
     NO_CAPACITY("no_capacity", 503),
+    /** A part of the prompt has crashed several servers. */
+    QUARANTINED("quarantined", 503),
     /** No server of the service can be reached. */
     NO_SERVER("no_server", 503),
     /** The deadline passed before the request was served. */
--- /dev/null
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/CrashEvidence.java
@@ -0,0 +1,43 @@
+package org.mangoridge.dispatch.quarantine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.mangoridge.dispatch.request.PromptPart;
+
+/**
+ * What instances know of crashes of servers and of sound answers, as they tell it to each other.
+ *
+ * @param crashes the crashes, the newest first
+ * @param soundAnswers the decayed number of sound answers to prompts with a part, for parts that a crash implicates
+ */
+public record CrashEvidence(List<Crash> crashes, Map<PromptPart, Double> soundAnswers) {
+
+    /** Evidence of nothing. */
+    public static final CrashEvidence NONE = new CrashEvidence(List.of(), Map.of());
+
+    public CrashEvidence {
+        crashes = List.copyOf(crashes);
+        soundAnswers = Map.copyOf(soundAnswers);
+    }
+
+    /**
+     * The crash of a server.
+     *
+     * @param run the run that ended
+     * @param age how long ago it ended
+     * @param prompts the prompts that the server was about to answer or had just begun to answer
+     */
+    public record Crash(ServerRun run, Duration age, List<Prompt> prompts) {
+
+        public Crash {
+            prompts = List.copyOf(prompts);
+        }
+    }
+
+    /** Returns whether there is no crash to tell of. */
+    public boolean isEmpty() {
+        return crashes.isEmpty();
+    }
+}
--- /dev/null
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,146 @@
+package org.mangoridge.dispatch.quarantine;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.request.PromptPart;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PromptQuarantineTest {
+
+    private static final Duration NOW = Duration.ofMinutes(1);
+
+    private final PromptQuarantine quarantine = PromptQuarantine.create();
+    private int runs;
+
+    /** Returns the prompt whose parts are written with blanks between them. */
+    private static Prompt prompt(String parts) {
+        return new Prompt(
+                Arrays.stream(parts.trim().split(" +")).map(PromptPart::of).toList());
+    }
+
+    private static List<Prompt> prompts(String text) {
+        return Arrays.stream(text.split("/")).map(PromptQuarantineTest::prompt).toList();
+    }
+
+    private ServerRun nextRun() {
+        return new ServerRun(ServerId.of("s-" + ++runs), runs);
+    }
+
+    private void crash(String prompts) {
+        quarantine.recordCrash(nextRun(), prompts(prompts), NOW);
+    }
+
+    private static String quarantined(PromptQuarantine of) {
+        return of.quarantined().stream().map(PromptPart::value).sorted().collect(Collectors.joining(" "));
+    }
+
+    /** Crashes are separated by commas, the prompts that one implicates by slashes. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "two crashes can be a coincidence             | f b, f b                        | ''",
+                "the deepest of parts that occur together     | f b, f b, f b                   | b",
+                "the part that the crashes have in common     | f b x, g b y, h b z             | b",
+                "a first part before different ones           | f x, f y, f z                   | f",
+                "two parts at once                            | f b, f c, f b, f c, f b, f c    | b c",
+                "two parts, too few crashes of each           | f b, f c, f b, f c              | ''",
+                "prompts that were there by accident          | f b/g i, f b/g j, f b/h i       | b",
+                "no part in common                            | f b, g c, h d                   | ''"
+            })
+    void thePartThatExplainsTheCrashesIsFound(String description, String crashes, String expected) {
+        Arrays.stream(crashes.split(",")).forEach(this::crash);
+        assertThat(quarantined(quarantine)).isEqualTo(expected);
+    }
+
+    @Test
+    void promptsWithAQuarantinedPartAreFound() {
+        Arrays.asList("f b", "f b", "f b").forEach(this::crash);
+        assertThat(quarantine.find(prompt("g b x"))).hasValue(PromptPart.of("b"));
+        assertThat(quarantine.find(prompt("f x")).isPresent()).isFalse();
+        assertThat(quarantine.find(new Prompt(List.of())).isPresent()).isFalse();
+    }
+
+    /** Several connections break at one crash, which must not count as several. */
+    @Test
+    void aCrashCountsOnce() {
+        ServerRun run = nextRun();
+        for (int i = 0; i < 5; i++) {
+            quarantine.recordCrash(run, prompts("f b"), NOW);
+        }
+        assertThat(quarantined(quarantine)).isEmpty();
+    }
+
+    /** A part that most requests share is present at every crash, whatever its reason. */
+    @Test
+    void soundAnswersOutweighCrashes() {
+        for (int i = 0; i < 5; i++) {
+            quarantine.recordSoundAnswer(prompt("f x"), NOW);
+        }
+        Arrays.asList("f x", "f y", "f z", "f u", "f v").forEach(this::crash);
+        assertThat(quarantined(quarantine)).isEmpty();
+    }
+
+    @Test
+    void soundAnswersEndAQuarantine() {
+        Arrays.asList("f x", "f y", "f z").forEach(this::crash);
+        assertThat(quarantined(quarantine)).isEqualTo("f");
+        quarantine.recordSoundAnswer(prompt("f u"), NOW);
+        assertThat(quarantined(quarantine)).isEmpty();
+    }
+
+    @Test
+    void crashesAreForgotten() {
+        Arrays.asList("f b", "f b", "f b").forEach(this::crash);
+        quarantine.expire(NOW.plus(PromptQuarantine.RETENTION).minusMillis(1));
+        assertThat(quarantined(quarantine)).isEqualTo("b");
+        quarantine.expire(NOW.plus(PromptQuarantine.RETENTION));
+        assertThat(quarantined(quarantine)).isEmpty();
+    }
+
+    /** A flood of crashes for other reasons must not push out the evidence against a quarantined part. */
+    @Test
+    void evidenceIsBounded() {
+        Arrays.asList("f b", "f b", "f b").forEach(this::crash);
+        for (int i = 0; i < 500; i++) {
+            quarantine.recordCrash(nextRun(), prompts("g" + i + " x" + i), NOW.plusMillis(i));
+        }
+        assertThat(quarantined(quarantine)).isEqualTo("b");
+        assertThat(quarantine.evidence(NOW.plusSeconds(1)).crashes().size()).isAtMost(64);
+    }
+
+    @Test
+    void evidenceMergesInAnyOrderAndMoreThanOnce() {
+        PromptQuarantine other = PromptQuarantine.create();
+        ServerRun shared = nextRun();
+        quarantine.recordCrash(shared, prompts("f b"), NOW);
+        other.recordCrash(shared, prompts("g i"), NOW);
+        crash("f b");
+        other.recordCrash(nextRun(), prompts("f b"), NOW);
+        assertThat(quarantine.merge(other.evidence(NOW), NOW)).isTrue();
+        assertThat(quarantine.merge(other.evidence(NOW), NOW)).isFalse();
+        assertThat(other.merge(quarantine.evidence(NOW), NOW)).isTrue();
+        assertThat(quarantined(quarantine)).isEqualTo("b");
+        assertThat(quarantined(other)).isEqualTo("b");
+    }
+
+    /** An instance that has seen no sound answer itself learns of those of the others. */
+    @Test
+    void soundAnswersOfOthersCount() {
+        for (int i = 0; i < 3; i++) {
+            quarantine.recordSoundAnswer(prompt("f"), NOW);
+        }
+        Arrays.asList("f x", "f y", "f z").forEach(this::crash);
+        PromptQuarantine other = PromptQuarantine.create();
+        other.merge(quarantine.evidence(NOW), NOW);
+        assertThat(quarantined(other)).isEmpty();
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -33,6 +33,11 @@
     /** Time without an event, beyond the expected time to the first one, after which a stream is considered stalled. */
     private static final Duration STALL_TIMEOUT = Duration.ofMillis(900);
 
+    /** Time from the first event in which a crash of the server may be due to the prompt. */
+    private static final Duration BEGINNING = Duration.ofMillis(500);
+    /** Time from the first event after which the server has survived the prompt. */
+    private static final Duration SURVIVAL_TIME = Duration.ofSeconds(1);
+
     private static final int MAX_ERROR_BODY_BYTES = 64 << 10;
 
     private final GatewayContext context;
@@ -49,7 +54,10 @@
     private final EventBuffer eventBuffer = new EventBuffer();
     private ByteBuf errorBody = Unpooled.EMPTY_BUFFER;
     private Duration started;
-    private boolean firstEventSeen;
+    /** When the first event arrived; null before. */
+    private Duration firstEventAt;
+
+    private boolean survivalRecorded;
     private int eventCount;
     private boolean resuming;
     private boolean ejected;
@@ -204,9 +212,11 @@
             failStream("missing event before id " + event.id().getAsLong());
             return;
         }
-        if (!firstEventSeen) {
-            firstEventSeen = true;
+        if (firstEventAt == null) {
+            firstEventAt = context.now();
             onFirstEvent();
+        } else if (context.now().minus(firstEventAt).compareTo(SURVIVAL_TIME) >= 0) {
+            recordSurvival();
         }
         exchange.forwardEvent(event);
         restartStallTimer(STALL_TIMEOUT);
@@ -241,6 +251,20 @@
         exchange.startResponse(reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()));
     }
 
+    private void recordSurvival() {
+        if (!survivalRecorded) {
+            survivalRecorded = true;
+            context.promptGuard().soundAnswer(exchange.prompt());
+        }
+    }
+
+    /** Tells the guard that the server broke off, unless it had been answering for some time. */
+    private void recordBreak() {
+        if (firstEventAt == null || context.now().minus(firstEventAt).compareTo(BEGINNING) < 0) {
+            context.promptGuard().brokenOff(server, exchange.prompt());
+        }
+    }
+
     private void failStream(String detail) {
         call.cancel();
         fail(Verdict.RAN, detail);
@@ -265,10 +289,12 @@
         Duration took = context.now().minus(started);
         if (reply.isVerifiedSuccess()) {
             if (eventBuffer.hasPartial()) {
+                recordBreak();
                 fail(Verdict.RAN, "stream ended within an incomplete event");
                 return;
             }
             context.serverHealth().recordAnswer(server, false, took, context.now());
+            recordSurvival();
             exchange.startResponse(reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()));
             release();
             exchange.completed(server, reply.status());
@@ -322,6 +348,7 @@
             context.serverHealth().recordNoAnswer(server.id(), context.now());
         } else {
             context.serverHealth().recordAnswer(server, true, Duration.ZERO, context.now());
+            recordBreak();
         }
         fail(failure.progress().verdict(), failure.detail());
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -32,6 +32,7 @@
  * @param retryBudget limits the share of requests that are retries
  * @param plainBalancer chooses servers of plain services
  * @param engineBalancer chooses servers of model services
+ * @param promptGuard keeps prompts that crash servers away from them
  * @param metrics counters and histograms
  * @param log the event log
  */
@@ -48,6 +49,7 @@
         RetryBudget retryBudget,
         PlainBalancer plainBalancer,
         EngineBalancer engineBalancer,
+        PromptGuard promptGuard,
         GatewayMetrics metrics,
         EventSink log) {
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -21,7 +21,9 @@
 import org.mangoridge.dispatch.balance.QueueDeadlines;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.request.AttemptWork;
+import org.mangoridge.dispatch.request.PromptPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.RetryPolicy;
 
@@ -39,6 +41,9 @@
      */
     private static final double LATE_REQUEST_TARGET_SHARE = 0.5;
 
+    /** When callers may repeat a request that crashes servers; its quarantine lasts for minutes. */
+    private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(60);
+
     /** Expected time from the start of a KV cache import to the first token. */
     private static final Duration CACHE_IMPORT_TIME = Duration.ofMillis(100);
 
@@ -47,6 +52,7 @@
     private final EngineSpec spec;
     private final ModelQueue queue;
     private final QueueDeadlines queueDeadlines;
+    private final Prompt prompt;
     private final Set<ServerId> excludedServers = new HashSet<>();
     private PrefillStep prefill;
     private DecodeStep decode;
@@ -63,6 +69,7 @@
         this.spec = spec;
         this.queue = queue;
         this.queueDeadlines = QueueDeadlines.of(scope.route(), scope.arrived(), scope.deadline());
+        this.prompt = new Prompt(scope.caller().sharedParts());
         this.lastEvent = scope.caller().resumeAfter();
     }
 
@@ -85,6 +92,10 @@
         return spec;
     }
 
+    Prompt prompt() {
+        return prompt;
+    }
+
     OptionalLong lastEvent() {
         return lastEvent;
     }
@@ -98,6 +109,9 @@
     }
 
     private void placeOrEnqueue() {
+        if (refuseIfQuarantined()) {
+            return;
+        }
         if (scope.caller().tokens().prompt() >= spec.kvCapacity()) {
             giveUp(RefusalReason.NO_CAPACITY, "the prompt is larger than the KV cache of a backend server");
             return;
@@ -118,6 +132,21 @@
         }
     }
 
+    /** Refuses the request if a part of its prompt crashes servers; returns whether it was refused. */
+    boolean refuseIfQuarantined() {
+        Optional<PromptPart> part = context.promptGuard().find(prompt);
+        if (part.isEmpty() || responseStarted) {
+            return false;
+        }
+        abandon();
+        scope.refuse(
+                RefusalReason.QUARANTINED,
+                "a part of the prompt has crashed several backend servers",
+                Optional.of(QUARANTINE_RETRY_AFTER),
+                Field.of("part", part.get()));
+        return true;
+    }
+
     private List<ServerEntry> servers() {
         return context.directory().usable(scope.service());
     }
@@ -190,7 +219,9 @@
 
     /** Starts the prefill after the decode server granted the reservation or turned out not to support reservations. */
     void reservationAccepted() {
-        prefill.start();
+        if (!refuseIfQuarantined()) {
+            prefill.start();
+        }
     }
 
     /** Places the request anew after the decode server rejected the reservation; nothing has been executed yet. */
@@ -211,6 +242,9 @@
 
     /** Starts the decode after the prefill is complete. */
     void prefillCompleted() {
+        if (refuseIfQuarantined()) {
+            return;
+        }
         Optional<String> reserved = reservation == null ? Optional.empty() : reservation.use();
         decode.start(prefill.decodeWork(reserved));
     }
@@ -244,7 +278,10 @@
 
     /** Lets another decode server import the KV cache; false if the cache, a server or the retry budget is missing. */
     private boolean decodeOnAnotherServer(ServerEntry rejectingServer, String detail) {
-        if (ended || !prefill.isCacheAvailable() || scope.sends() >= RetryDecision.MAX_SENDS) {
+        if (ended
+                || !prefill.isCacheAvailable()
+                || scope.sends() >= RetryDecision.MAX_SENDS
+                || context.promptGuard().find(prompt).isPresent()) {
             return false;
         }
         Set<ServerId> others = new HashSet<>(excludedServers);
@@ -280,14 +317,15 @@
             scope.log(LogEvent.STREAM_CUT, Field.of("server", server.id()), Field.of("last_event", lastEvent));
             context.metrics().count("streams.cut");
             scope.exchange().abort();
-        } else {
+        } else if (!refuseIfQuarantined()) {
             giveUp(RefusalReason.SERVER_FAILED, "the backend server failed and the request could not be retried");
         }
     }
 
     /** Returns whether the request may be retried, and takes one retry from the budget if so. */
     private boolean acquireRetry(Verdict verdict) {
-        if (responseStarted && scope.route().repeat() != RetryPolicy.RESUMABLE) {
+        boolean quarantined = context.promptGuard().find(prompt).isPresent();
+        if (quarantined || responseStarted && scope.route().repeat() != RetryPolicy.RESUMABLE) {
             return false;
         }
         return RetryDecision.mayRetry(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -79,6 +79,9 @@
         Duration now = context.now();
         queue.expire(now).forEach(waiter -> waiter.item().waitTimedOut());
         for (Waiter<ModelExchange> waiter : queue.inPlacementOrder(now)) {
+            if (waiter.item().refuseIfQuarantined()) {
+                continue;
+            }
             Optional<EnginePlacement> placement = waiter.item().findPlacement();
             if (placement.isPresent() && queue.remove(waiter.item())) {
                 waiter.item().place(placement.get());
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/EvidencePages.java
@@ -0,0 +1,73 @@
+package org.mangoridge.gateway.gossip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
+import org.mangoridge.dispatch.quarantine.Prompt;
+import org.mangoridge.dispatch.request.PromptPart;
+
+/**
+ * Divides evidence of crashes into pages that fit into a datagram. Not thread-safe.
+ *
+ * <p>Each page holds the newest crashes, which are the least known, and some of the others in turn.
+ */
+final class EvidencePages {
+
+    /** Maximum encoded size of the crashes of a page; with sound answers and headers it fits into an Ethernet MTU. */
+    private static final int MAX_CRASH_BYTES = 900;
+    /** Encoded size of a crash without its prompts. */
+    private static final int CRASH_BYTES = 32;
+
+    private int turn;
+
+    /** Returns the next page. */
+    CrashEvidence next(CrashEvidence all) {
+        List<CrashEvidence.Crash> page = new ArrayList<>();
+        int size = 0;
+        int newest = 0;
+        while (newest < all.crashes().size() && size + sizeOf(all.crashes().get(newest)) <= MAX_CRASH_BYTES / 2) {
+            size += sizeOf(all.crashes().get(newest));
+            page.add(all.crashes().get(newest++));
+        }
+        int others = all.crashes().size() - newest;
+        for (int i = 0; i < others; i++) {
+            CrashEvidence.Crash crash = all.crashes().get(newest + turn % others);
+            if (!page.isEmpty() && size + sizeOf(crash) > MAX_CRASH_BYTES) {
+                break;
+            }
+            size += sizeOf(crash);
+            page.add(crash);
+            turn++;
+        }
+        return new CrashEvidence(page, soundAnswers(page, all));
+    }
+
+    private static Map<PromptPart, Double> soundAnswers(List<CrashEvidence.Crash> page, CrashEvidence all) {
+        Map<PromptPart, Double> sound = new HashMap<>();
+        for (CrashEvidence.Crash crash : page) {
+            for (Prompt prompt : crash.prompts()) {
+                for (PromptPart part : prompt.parts()) {
+                    Double count = all.soundAnswers().get(part);
+                    if (count != null) {
+                        sound.put(part, count);
+                    }
+                }
+            }
+        }
+        return sound;
+    }
+
+    private static int sizeOf(CrashEvidence.Crash crash) {
+        int size = CRASH_BYTES;
+        for (Prompt prompt : crash.prompts()) {
+            size += 2;
+            for (PromptPart part : prompt.parts()) {
+                size += part.value().length() + 1;
+            }
+        }
+        return size;
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.gossip;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,9 +19,16 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
+import org.mangoridge.dispatch.quarantine.Prompt;
+import org.mangoridge.dispatch.quarantine.ServerRun;
+import org.mangoridge.dispatch.request.PromptPart;
 import org.mangoridge.gateway.thrift.LoadBatch;
 import org.mangoridge.gateway.thrift.LoadMessage;
+import org.mangoridge.gateway.thrift.PromptParts;
+import org.mangoridge.gateway.thrift.ServerCrash;
 import org.mangoridge.gateway.thrift.ServerShare;
+import org.mangoridge.gateway.thrift.SoundPart;
 
 /** Encodes and decodes load reports and the datagrams that carry batches of them. */
 final class LoadCodec {
@@ -35,8 +43,11 @@
 
     private final Map<String, HostPort> addressCache = new HashMap<>();
 
-    /** The content of a datagram: encoded reports, and whether the receiver is to forward them. */
-    record Batch(List<byte[]> reports, boolean passOn) {}
+    /** Bounds the characters of the id of a part of a prompt. */
+    private static final int MAX_PART_LENGTH = 64;
+
+    /** The content of a datagram: encoded reports, whether the receiver is to forward them, and evidence of crashes. */
+    record Batch(List<byte[]> reports, boolean passOn, CrashEvidence evidence) {}
 
     private LoadCodec() {}
 
@@ -72,6 +83,49 @@
         return write(new LoadBatch(reports.stream().map(ByteBuffer::wrap).toList(), passOn));
     }
 
+    static byte[] encodeEvidence(CrashEvidence evidence) {
+        List<ServerCrash> crashes = new ArrayList<>();
+        for (CrashEvidence.Crash crash : evidence.crashes()) {
+            List<PromptParts> prompts = crash.prompts().stream()
+                    .map(prompt -> new PromptParts(
+                            prompt.parts().stream().map(PromptPart::value).toList()))
+                    .toList();
+            crashes.add(new ServerCrash(
+                    crash.run().server().value(),
+                    crash.run().startedMillis(),
+                    crash.age().toMillis(),
+                    prompts));
+        }
+        List<SoundPart> soundParts = new ArrayList<>();
+        evidence.soundAnswers().forEach((part, count) -> soundParts.add(new SoundPart(part.value(), count)));
+        return write(new LoadBatch(List.of(), false).setCrashes(crashes).setSoundParts(soundParts));
+    }
+
+    private static CrashEvidence evidence(LoadBatch batch) {
+        List<CrashEvidence.Crash> crashes = new ArrayList<>();
+        for (ServerCrash crash : batch.getCrashes()) {
+            List<Prompt> prompts = crash.getPrompts().stream()
+                    .map(prompt -> new Prompt(
+                            prompt.getParts().stream().map(LoadCodec::part).toList()))
+                    .toList();
+            crashes.add(new CrashEvidence.Crash(
+                    new ServerRun(ServerId.of(crash.getServer()), crash.getStartedMillis()),
+                    Duration.ofMillis(crash.getAgeMillis()),
+                    prompts));
+        }
+        Map<PromptPart, Double> soundAnswers = new HashMap<>();
+        for (SoundPart sound : batch.getSoundParts()) {
+            Checks.argument(Double.isFinite(sound.getAnswers()), "the number of sound answers is not finite");
+            soundAnswers.put(part(sound.getPart()), sound.getAnswers());
+        }
+        return new CrashEvidence(crashes, soundAnswers);
+    }
+
+    private static PromptPart part(String text) {
+        Checks.argument(text.length() <= MAX_PART_LENGTH, "the id of a part of a prompt is too long");
+        return PromptPart.of(text);
+    }
+
     private static byte[] write(TBase<?, ?> message) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
@@ -84,17 +138,21 @@
         LoadBatch batch = new LoadBatch();
         try {
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
+            return Result.ok(new Batch(reports(batch), batch.isPassOn(), evidence(batch)));
         } catch (TException | RuntimeException e) {
             // The library throws unchecked exceptions for some malformed messages.
             return Result.err(String.valueOf(e));
         }
+    }
+
+    private static List<byte[]> reports(LoadBatch batch) {
         List<byte[]> reports = new ArrayList<>();
         for (ByteBuffer report : batch.getReports()) {
             byte[] copy = new byte[report.remaining()];
             report.duplicate().get(copy);
             reports.add(copy);
         }
-        return Result.ok(new Batch(reports, batch.isPassOn()));
+        return reports;
     }
 
     Result<LoadReport, String> decode(byte[] bytes) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -17,6 +17,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
 /**
  * The gossip protocol for load reports: decides which reports are sent where and when. Does no I/O; not thread-safe.
@@ -48,6 +49,11 @@
     /** Send interval per target relay; limits the datagrams between relays to about 330 a second in any fleet. */
     private static final Duration SEND_INTERVAL_PER_RELAY = Duration.ofMillis(3);
 
+    /** Interval at which evidence of crashes is told again, so that lost datagrams and restarts do not matter. */
+    static final Duration EVIDENCE_INTERVAL = Duration.ofMillis(1500);
+    /** Minimum time between datagrams with new evidence, so that crashes at about the same time share one. */
+    private static final Duration MIN_EVIDENCE_INTERVAL = Duration.ofMillis(100);
+
     /** Minimum time between datagrams that report released capacity. */
     private static final Duration MIN_SEND_INTERVAL = Duration.ofMillis(100);
     /** Send interval per target; limits an instance to about 125 datagrams a second each way in any fleet. */
@@ -73,6 +79,8 @@
     private final RelayPlan plan;
     private final Supplier<Map<ServerId, ServerLoad>> ownLoads;
     private final Supplier<LoadReport.StoreVersions> storeVersions;
+    private final Supplier<CrashEvidence> evidence;
+    private final EvidencePages evidencePages = new EvidencePages();
     private final LoadCodec codec = LoadCodec.create();
     private final Outbox targetOutbox = new Outbox();
     private final Outbox subscriberOutbox = new Outbox();
@@ -82,6 +90,8 @@
     private RelayPlan.Routes routes;
     private long sequence;
     private Duration nextHeartbeat = Duration.ZERO;
+    private Duration nextEvidence = Duration.ZERO;
+    private Duration lastEvidence = Duration.ZERO;
 
     /** The reports that are queued for one group of receivers. */
     private static final class Outbox {
@@ -119,7 +129,9 @@
             LoadReport.Origin self,
             PeerTable table,
             Supplier<Map<ServerId, ServerLoad>> ownLoads,
-            Supplier<LoadReport.StoreVersions> storeVersions) {
+            Supplier<LoadReport.StoreVersions> storeVersions,
+            Supplier<CrashEvidence> evidence) {
+        this.evidence = evidence;
         this.self = self;
         this.table = table;
         this.plan = RelayPlan.create(self, table);
@@ -133,13 +145,26 @@
      *
      * @param ownLoads supplies the load that this instance puts on each server
      * @param storeVersions supplies the versions of stored data that this instance has
+     * @param evidence supplies what this instance knows of crashes of servers
      */
     static LoadGossip create(
             LoadReport.Origin self,
             PeerTable table,
             Supplier<Map<ServerId, ServerLoad>> ownLoads,
-            Supplier<LoadReport.StoreVersions> storeVersions) {
-        return new LoadGossip(self, table, ownLoads, storeVersions);
+            Supplier<LoadReport.StoreVersions> storeVersions,
+            Supplier<CrashEvidence> evidence) {
+        return new LoadGossip(self, table, ownLoads, storeVersions, evidence);
+    }
+
+    /** Schedules evidence that this instance has observed, or that a relay has received, to be told soon. */
+    void evidenceChanged(Duration now) {
+        Duration due = max(now.plus(URGENT_BATCH_DELAY), lastEvidence.plus(MIN_EVIDENCE_INTERVAL));
+        nextEvidence = due.compareTo(nextEvidence) < 0 ? due : nextEvidence;
+    }
+
+    /** Returns whether this instance has to pass new evidence on at once. */
+    boolean passesEvidenceOn() {
+        return isRelay();
     }
 
     /** Schedules a report after the load of this instance changed. */
@@ -164,15 +189,16 @@
      * The content of a datagram.
      *
      * @param reports the reports that were not stale
+     * @param evidence evidence of crashes of servers
      * @param error why the datagram, or the last undecodable report in it, could not be decoded; empty if all could
      */
-    record Reception(List<ReceivedReport> reports, Optional<String> error) {}
+    record Reception(List<ReceivedReport> reports, CrashEvidence evidence, Optional<String> error) {}
 
     /** Processes a datagram; an undecodable report does not affect the others. */
     Reception receive(byte[] bytes, HostPort from, Duration now) {
         Result<LoadCodec.Batch, String> batch = LoadCodec.decodeBatch(bytes);
         if (!batch.isOk()) {
-            return new Reception(List.of(), Optional.of(batch.error()));
+            return new Reception(List.of(), CrashEvidence.NONE, Optional.of(batch.error()));
         }
         Optional<String> error = Optional.empty();
         boolean passOn = batch.value().passOn();
@@ -201,7 +227,7 @@
                 forward(new ReceivedReport(report, outcome), encoded, passOn, now);
             }
         }
-        return new Reception(received, error);
+        return new Reception(received, batch.value().evidence(), error);
     }
 
     /** Schedules a reply to a relay or new instance; a new one sends as in a mesh until replies tell it of its peers. */
@@ -258,7 +284,7 @@
 
     /** Returns when {@link #dueDatagrams} must be called next. */
     Duration nextDue() {
-        Duration next = nextHeartbeat;
+        Duration next = nextEvidence.compareTo(nextHeartbeat) < 0 ? nextEvidence : nextHeartbeat;
         if (targetOutbox.due != null && targetOutbox.due.compareTo(next) < 0) {
             next = targetOutbox.due;
         }
@@ -271,6 +297,9 @@
     /** Returns the datagrams to send now. */
     List<Datagram> dueDatagrams(Duration now) {
         List<Datagram> datagrams = new ArrayList<>();
+        if (now.compareTo(nextEvidence) >= 0) {
+            tellEvidence(now, datagrams);
+        }
         if (now.compareTo(nextHeartbeat) >= 0) {
             sendHeartbeat(now, datagrams);
             return datagrams;
@@ -285,6 +314,18 @@
         return datagrams;
     }
 
+    private void tellEvidence(Duration now, List<Datagram> datagrams) {
+        nextEvidence = now.plus(EVIDENCE_INTERVAL);
+        lastEvidence = now;
+        CrashEvidence page = evidencePages.next(evidence.get());
+        if (!page.isEmpty()) {
+            byte[] bytes = LoadCodec.encodeEvidence(page);
+            Set<HostPort> receivers = new LinkedHashSet<>(routes.targets());
+            receivers.addAll(routes.subscribers());
+            receivers.forEach(receiver -> datagrams.add(new Datagram(receiver, bytes)));
+        }
+    }
+
     private void sendHeartbeat(Duration now, List<Datagram> datagrams) {
         nextHeartbeat = now.plus(heartbeatInterval());
         reply(datagrams);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -23,6 +23,7 @@
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
+import org.mangoridge.gateway.exchange.PromptGuard;
 import org.mangoridge.gateway.log.EventSink;
 
 /** Sends and receives load reports over UDP on behalf of {@link LoadGossip}; confined to one event loop. */
@@ -36,6 +37,7 @@
     private final PeerTable table;
     private final LoadTracker loads;
     private final LoadGossip gossip;
+    private final PromptGuard guard;
     private final Runnable onPeerLoadChange;
     private final EventSink log;
     private Channel channel;
@@ -49,6 +51,7 @@
             PeerTable table,
             LoadTracker loads,
             LoadGossip gossip,
+            PromptGuard guard,
             Runnable onPeerLoadChange,
             EventSink log) {
         this.loop = loop;
@@ -56,6 +59,7 @@
         this.table = table;
         this.loads = loads;
         this.gossip = gossip;
+        this.guard = guard;
         this.onPeerLoadChange = onPeerLoadChange;
         this.log = log;
     }
@@ -65,6 +69,7 @@
      *
      * @param self this run of this instance
      * @param storeVersions supplies the versions of stored data that this instance has
+     * @param guard has the evidence of crashes that is told to peers, and receives theirs
      * @param onPeerLoadChange called after reports of peers have been applied
      */
     public static LoadGossipTransport create(
@@ -74,10 +79,11 @@
             PeerTable table,
             LoadTracker loads,
             Supplier<LoadReport.StoreVersions> storeVersions,
+            PromptGuard guard,
             Runnable onPeerLoadChange,
             EventSink log) {
-        LoadGossip gossip = LoadGossip.create(self, table, loads::ownLoads, storeVersions);
-        return new LoadGossipTransport(loop, clock, table, loads, gossip, onPeerLoadChange, log);
+        LoadGossip gossip = LoadGossip.create(self, table, loads::ownLoads, storeVersions, guard::evidence);
+        return new LoadGossipTransport(loop, clock, table, loads, gossip, guard, onPeerLoadChange, log);
     }
 
     /** Binds to {@code address} and starts to send and receive reports. */
@@ -109,6 +115,14 @@
         }
     }
 
+    /** Schedules evidence of a crash that this instance has observed. */
+    public void crashObserved() {
+        if (channel != null) {
+            gossip.evidenceChanged(clock.elapsed());
+            schedule();
+        }
+    }
+
     /** Sends the peers a last report that this instance is shutting down. */
     public void leave() {
         if (channel != null) {
@@ -169,6 +183,9 @@
                         LogEvent.PEER_CONNECTION_FAILED,
                         Field.of("address", from),
                         Field.of("detail", "undecodable load report: " + error)));
+        if (!reception.evidence().isEmpty() && guard.merge(reception.evidence()) && gossip.passesEvidenceOn()) {
+            gossip.evidenceChanged(now);
+        }
         for (LoadGossip.ReceivedReport received : reception.reports()) {
             LoadReport report = received.report();
             logMembershipChange(report, received.outcome(), from);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -1,5 +1,6 @@
 package org.mangoridge.gateway.net;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -7,10 +8,13 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -70,6 +74,37 @@
         return call;
     }
 
+    /** Whether a server accepts connections. */
+    public enum Listening {
+        /** The server accepted a connection. */
+        YES,
+        /** The machine of the server answered that nothing listens at the address. */
+        NO,
+        /** There was no answer in time. */
+        UNKNOWN
+    }
+
+    /** Finds out whether a server accepts connections by opening one, which is closed at once. */
+    public void checkListening(HostPort address, Duration timeout, Consumer<Listening> result) {
+        opened++;
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address.socketAddress())
+                .addListener((ChannelFutureListener) done -> {
+                    done.channel().close();
+                    if (done.isSuccess()) {
+                        result.accept(Listening.YES);
+                    } else {
+                        boolean timedOut = done.cause() instanceof io.netty.channel.ConnectTimeoutException;
+                        boolean refused = done.cause() instanceof ConnectException && !timedOut;
+                        result.accept(refused ? Listening.NO : Listening.UNKNOWN);
+                    }
+                });
+    }
+
     /** Returns the number of connections opened since the pool was created. */
     public long opened() {
         return opened;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -28,6 +28,7 @@
 import org.mangoridge.dispatch.follow.StoreLag;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
+import org.mangoridge.gateway.exchange.PromptGuard;
 import org.mangoridge.gateway.exchange.RequestRouter;
 import org.mangoridge.gateway.exchange.WireDialect;
 import org.mangoridge.gateway.gossip.LoadGossipTransport;
@@ -126,8 +127,10 @@
                 peers,
                 loads,
                 this::storeVersions,
+                context.promptGuard(),
                 this::catchUpWithPeers,
                 log);
+        context.promptGuard().onObservedCrash(loadGossip::crashObserved);
         loads.onOwnChange(loadGossip::loadChanged);
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
@@ -175,6 +178,7 @@
         LoadTracker loads = LoadTracker.create();
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
+        GatewayMetrics metrics = GatewayMetrics.create();
         RetryBudget budget =
                 RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
         return new GatewayContext(
@@ -190,7 +194,8 @@
                 budget,
                 PlainBalancer.create(loads, tracks, settings.zone(), random),
                 EngineBalancer.create(loads, tracks, pace, settings.zone()),
-                GatewayMetrics.create(),
+                PromptGuard.create(loop, clock, pool, directory, metrics, log),
+                metrics,
                 log);
     }
 
@@ -306,6 +311,7 @@
         if (now.minus(lastSweep).compareTo(POOL_SWEEP_INTERVAL) >= 0) {
             lastSweep = now;
             context.pool().sweep();
+            context.promptGuard().expire();
         }
         logReadinessChange();
         if (drainingSince == null) {
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -43,9 +43,35 @@
   13: optional i64 storeEra = 0
 }
 
+/** The shared parts of a prompt, in order. */
+struct PromptParts {
+  1: required list<string> parts
+}
+
+/** The crash of one run of a server. */
+struct ServerCrash {
+  1: required string server
+  /** When the run started, as Unix milliseconds. */
+  2: required i64 startedMillis
+  /** How long ago it ended. */
+  3: required i64 ageMillis
+  /** The prompts that it was about to answer or had just begun to answer. */
+  4: required list<PromptParts> prompts
+}
+
+/** The decayed number of sound answers to prompts with a part. */
+struct SoundPart {
+  1: required string part
+  2: required double answers
+}
+
 /** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
 struct LoadBatch {
   1: required list<binary> reports
   /** Whether the receiver is to pass the reports on, and to send the sender those of others. */
   2: required bool passOn
+  /** Crashes of servers that the sender knows of, by its own observation or from others; some of them at a time. */
+  3: optional list<ServerCrash> crashes = []
+  /** Sound answers for parts that these crashes implicate. */
+  4: optional list<SoundPart> soundParts = []
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -18,6 +18,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
 /** Simulates a fleet of instances that gossip load reports, in virtual time over a simulated network. */
 final class GossipFleet {
@@ -65,7 +66,12 @@
                     AvailabilityZone.of("zone-" + index % zones),
                     360 + index * 37 % 1000);
             table = PeerTable.create(address, seeds, random.split());
-            gossip = LoadGossip.create(origin, table, loads::ownLoads, () -> new LoadReport.StoreVersions(0, 1, 1));
+            gossip = LoadGossip.create(
+                    origin,
+                    table,
+                    loads::ownLoads,
+                    () -> new LoadReport.StoreVersions(0, 1, 1),
+                    () -> CrashEvidence.NONE);
             loads.onOwnChange(urgency -> {
                 gossip.ownLoadChanged(urgency, now);
                 scheduleTimer();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
@@ -12,6 +12,7 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -194,7 +195,8 @@
                         InstanceId.of("entry-1"), 1, new HostPort("10.0.0.1", 7000), AvailabilityZone.of("a"), 750),
                 PeerTable.create(new HostPort("10.0.0.1", 7000), List.of(), new SplittableRandom(1)),
                 Map::of,
-                () -> new LoadReport.StoreVersions(0, 1, 1));
+                () -> new LoadReport.StoreVersions(0, 1, 1),
+                () -> CrashEvidence.NONE);
         byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), new byte[] {1, 2, 3}), false);
         LoadGossip.Reception reception = gossip.receive(datagram, address, Duration.ZERO);
         assertThat(reception.reports()).hasSize(1);
