Take a stream that ends before its first event for broken off

A stream with neither a length nor chunks ends with its connection. When a server ended before the first event, callers got an empty stream that looked complete, and the prompt counted as answered. Cause: only an incomplete event told that the end was early. UnframedAnswerTest holds the answers of that kind; its case of an empty stream failed before (200 with an empty body instead of 502), the other cases passed.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -288,9 +289,9 @@
         }
         Duration took = context.now().minus(started);
         if (reply.isVerifiedSuccess()) {
-            if (eventBuffer.hasPartial()) {
+            if (eventBuffer.hasPartial() || endsBeforeFirstEvent()) {
                 recordBreak();
-                fail(Verdict.RAN, "stream ended within an incomplete event");
+                fail(Verdict.RAN, "stream ended before or within an event");
                 return;
             }
             context.serverHealth().recordAnswer(server, false, took, context.now());
@@ -305,6 +306,12 @@
         }
     }
 
+    /** Returns whether only the end of the connection says that the stream is complete, and no event came before it. */
+    private boolean endsBeforeFirstEvent() {
+        boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        return !framed && eventCount == 0 && !resuming;
+    }
+
     private void onRejection() {
         boolean cacheLost = work instanceof AttemptWork.Decode && !reply.isFromOtherServer(server.id());
         if (reply.isFromOtherServer(server.id())) {
