Keep subscribers of a relay when they tell it evidence, and repeat new evidence

Found by the new test of evidence in a fleet with relays (112 instances, 5 in 100 datagrams lost): one instance did not learn of the part within 3 s, and no report of its relay reached it for 4 s. Cause: evidence was sent as not to be passed on, which a relay takes for a sign that the sender is no subscriber. It is now marked as the sender's other datagrams are. New evidence is repeated twice after 500 ms each, since in a large fleet one lost datagram in a row of hops is likely.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -83,7 +83,7 @@
         return write(new LoadBatch(reports.stream().map(ByteBuffer::wrap).toList(), passOn));
     }
 
-    static byte[] encodeEvidence(CrashEvidence evidence) {
+    static byte[] encodeEvidence(CrashEvidence evidence, boolean passOn) {
         List<ServerCrash> crashes = new ArrayList<>();
         for (CrashEvidence.Crash crash : evidence.crashes()) {
             List<PromptParts> prompts = crash.prompts().stream()
@@ -98,7 +98,7 @@
         }
         List<SoundPart> soundParts = new ArrayList<>();
         evidence.soundAnswers().forEach((part, count) -> soundParts.add(new SoundPart(part.value(), count)));
-        return write(new LoadBatch(List.of(), false).setCrashes(crashes).setSoundParts(soundParts));
+        return write(new LoadBatch(List.of(), passOn).setCrashes(crashes).setSoundParts(soundParts));
     }
 
     private static CrashEvidence evidence(LoadBatch batch) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -51,6 +51,10 @@
 
     /** Interval at which evidence of crashes is told again, so that lost datagrams and restarts do not matter. */
     static final Duration EVIDENCE_INTERVAL = Duration.ofMillis(1500);
+    /** Interval at which new evidence is repeated, since any datagram can be lost and many instances must act soon. */
+    private static final Duration NEW_EVIDENCE_INTERVAL = Duration.ofMillis(500);
+
+    private static final int NEW_EVIDENCE_REPEATS = 2;
     /** Minimum time between datagrams with new evidence, so that crashes at about the same time share one. */
     private static final Duration MIN_EVIDENCE_INTERVAL = Duration.ofMillis(100);
 
@@ -92,6 +96,7 @@
     private Duration nextHeartbeat = Duration.ZERO;
     private Duration nextEvidence = Duration.ZERO;
     private Duration lastEvidence = Duration.ZERO;
+    private int evidenceRepeats;
 
     /** The reports that are queued for one group of receivers. */
     private static final class Outbox {
@@ -160,6 +165,7 @@
     void evidenceChanged(Duration now) {
         Duration due = max(now.plus(URGENT_BATCH_DELAY), lastEvidence.plus(MIN_EVIDENCE_INTERVAL));
         nextEvidence = due.compareTo(nextEvidence) < 0 ? due : nextEvidence;
+        evidenceRepeats = NEW_EVIDENCE_REPEATS;
     }
 
     /** Returns whether this instance has to pass new evidence on at once. */
@@ -315,11 +321,13 @@
     }
 
     private void tellEvidence(Duration now, List<Datagram> datagrams) {
-        nextEvidence = now.plus(EVIDENCE_INTERVAL);
+        nextEvidence = now.plus(evidenceRepeats > 0 ? NEW_EVIDENCE_INTERVAL : EVIDENCE_INTERVAL);
+        evidenceRepeats = Math.max(0, evidenceRepeats - 1);
         lastEvidence = now;
         CrashEvidence page = evidencePages.next(evidence.get());
         if (!page.isEmpty()) {
-            byte[] bytes = LoadCodec.encodeEvidence(page);
+            // A relay takes a datagram that is not to be passed on for a sign that its sender is no subscriber.
+            byte[] bytes = LoadCodec.encodeEvidence(page, !routes.relaying());
             Set<HostPort> receivers = new LinkedHashSet<>(routes.targets());
             receivers.addAll(routes.subscribers());
             receivers.forEach(receiver -> datagrams.add(new Datagram(receiver, bytes)));
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
@@ -13,6 +13,9 @@
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
+import org.mangoridge.dispatch.quarantine.Prompt;
+import org.mangoridge.dispatch.quarantine.PromptQuarantine;
+import org.mangoridge.dispatch.request.PromptPart;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -20,6 +23,9 @@
 /** Propagation, cost and failure handling of load reports in a simulated fleet. */
 class LoadGossipTest {
 
+    /** The platform requires that instances in contact act on the crashes of servers within this time. */
+    private static final Duration CONTACT_BOUND = Duration.ofSeconds(3);
+
     private static final Duration CONVERGENCE_TIME = Duration.ofSeconds(12);
     private static final int RESERVED_TOKENS = 5000;
 
@@ -64,6 +70,33 @@
     }
 
     /** 65 instances that begin and end 72 requests a second. */
+    private static long ignorant(GossipFleet fleet) {
+        return fleet.members().stream()
+                .filter(member -> member.quarantine.quarantined().isEmpty())
+                .count();
+    }
+
+    /** Three instances observe one crash each; all must know of the part within the time that the platform allows. */
+    @ParameterizedTest
+    @CsvSource({"7, 3, 0", "16, 3, 0.05", "65, 3, 0.05", "112, 6, 0.05"})
+    void evidenceOfCrashesReachesAllInstances(int size, int zones, double lossRate) {
+        GossipFleet fleet = GossipFleet.create(size, zones, 12);
+        fleet.run(Duration.ofSeconds(10));
+        fleet.setLossRate(lossRate);
+        Prompt prompt = new Prompt(List.of(PromptPart.of("f1"), PromptPart.of("bad0")));
+        for (int i = 0; i < 3; i++) {
+            fleet.members().get(i * size / 3).observeCrash(i, prompt);
+        }
+        fleet.run(CONTACT_BOUND);
+        assertThat(ignorant(fleet)).isEqualTo(0);
+        // Those that observed the crashes restart and have forgotten them.
+        for (int i = 0; i < 3; i++) {
+            fleet.members().get(i * size / 3).quarantine = PromptQuarantine.create();
+        }
+        fleet.run(CONTACT_BOUND);
+        assertThat(ignorant(fleet)).isEqualTo(0);
+    }
+
     @Test
     void datagramRateUnderLoadIsBelowThatOfAMesh() {
         GossipFleet fleet = GossipFleet.create(65, 3, 3);
