--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -118,12 +118,7 @@
         this.loadGossip = LoadGossipTransport.create(
                 loop,
                 clock,
-                new LoadReport.Origin(
-                        settings.instance(),
-                        clock.now().toEpochMilli(),
-                        settings.peer(),
-                        settings.zone(),
-                        settings.milliCores()),
+                origin(settings, clock),
                 peers,
                 loads,
                 this::storeVersions,
@@ -166,6 +161,16 @@
                 random);
     }
 
+    /** Returns this run of the instance, as its load reports name it. */
+    private static LoadReport.Origin origin(GatewaySettings settings, Clock clock) {
+        return new LoadReport.Origin(
+                settings.instance(),
+                clock.now().toEpochMilli(),
+                settings.peer(),
+                settings.zone(),
+                settings.milliCores());
+    }
+
     private static GatewayContext createContext(
             GatewaySettings settings,
             EventLoop loop,
