Move ServerRun beside ServerEntry and JsonClient beside the pool

A run of a server is what announced limits will belong to, not only crashes, and the JSON client names nothing of the platform. No behaviour changes.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/ServerRun.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerRun.java
@@ -1,8 +1,7 @@
-package org.mangoridge.dispatch.quarantine;
+package org.mangoridge.dispatch.directory;
 
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.ServerId;
-import org.mangoridge.dispatch.directory.ServerEntry;
 
 /**
  * One run of a backend server, which may start again under the same id.
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/CrashEvidence.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/CrashEvidence.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.request.PromptPart;
 
 /**
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/PromptQuarantine.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/PromptQuarantine.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.request.PromptPart;
 
 /**
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/PromptQuarantineTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/PromptQuarantineTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.request.PromptPart;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.request.PromptPart;
 
 /**
--- a/platform/src/main/java/org/mangoridge/adapter/JsonClient.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
@@ -1,4 +1,4 @@
-package org.mangoridge.adapter;
+package org.mangoridge.gateway.net;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -19,14 +19,9 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.verdict.AttemptProgress;
-import org.mangoridge.gateway.net.BodyCollector;
-import org.mangoridge.gateway.net.CallFailure;
-import org.mangoridge.gateway.net.UpstreamCall;
-import org.mangoridge.gateway.net.UpstreamPool;
-import org.mangoridge.gateway.net.UpstreamRequest;
 
-/** Makes HTTP calls with JSON bodies to the platform's store and to the servers' control interface. */
-final class JsonClient {
+/** Makes HTTP calls with JSON bodies over pooled connections; confined to one event loop. */
+public final class JsonClient {
 
     /** Longest time to connect; a call with a short time limit spends at most half of it on that. */
     private static final Duration MAX_CONNECT_TIMEOUT = Duration.ofMillis(1000);
@@ -47,19 +42,25 @@
      * @param headers the headers
      * @param body the body; a missing node if it is empty or not JSON
      */
-    record Answer(int status, HttpHeaders headers, JsonNode body) {}
+    public record Answer(int status, HttpHeaders headers, JsonNode body) {}
 
-    JsonClient(EventLoop loop, UpstreamPool pool) {
+    private JsonClient(EventLoop loop, UpstreamPool pool) {
         this.loop = loop;
         this.pool = pool;
     }
 
-    ObjectMapper json() {
+    /** Returns a client whose calls go over the connections of a pool. */
+    public static JsonClient create(EventLoop loop, UpstreamPool pool) {
+        return new JsonClient(loop, pool);
+    }
+
+    /** Returns the mapper for bodies. */
+    public ObjectMapper json() {
         return json;
     }
 
     /** Makes a GET call. */
-    void get(
+    public void get(
             HostPort address,
             String target,
             HttpHeaders extra,
@@ -69,7 +70,7 @@
     }
 
     /** Makes a call with a JSON body. */
-    void send(
+    public void send(
             HostPort address,
             HttpMethod method,
             String target,
@@ -86,7 +87,8 @@
         }
     }
 
-    static HttpHeaders noHeaders() {
+    /** Returns headers to which those of a call can be added. */
+    public static HttpHeaders noHeaders() {
         return new DefaultHttpHeaders();
     }
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/EvidencePagesTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/EvidencePagesTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.quarantine.ServerRun;
 import org.mangoridge.dispatch.request.PromptPart;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -18,9 +18,9 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.quarantine.PromptQuarantine;
-import org.mangoridge.dispatch.quarantine.ServerRun;
 
 /** Simulates a fleet of instances that gossip load reports, in virtual time over a simulated network. */
 final class GossipFleet {
