Log the limits that servers announce, and count calls to servers by kind

ServerCalls is now the one way to call a server: requests, prefill, decode, reservations, releases and orders. Routing does not use the limits yet.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -65,6 +65,10 @@
     SERVER_CRASHED(310, Level.WARNING, "server crashed"),
     /** The parts of prompts that are kept from servers because they crash them have changed. */
     QUARANTINE_CHANGED(311, Level.WARNING, "quarantine changed"),
+    /** The rate of requests that a backend server takes from all instances together has changed. */
+    SERVER_LIMIT_CHANGED(312, Level.INFO, "server limit changed"),
+    /** A backend server announces a limit that is no rate; it is ignored. */
+    SERVER_LIMIT_UNREADABLE(313, Level.WARNING, "server limit unreadable"),
     /** A configuration was adopted. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -88,8 +88,10 @@
         OptionalLong after = exchange.lastEvent();
         Attempt attempt = new Attempt(scope.caller(), server.id(), scope.remainingTime(), work, after);
         restartStallTimer(expectedFirstEvent.plus(STALL_TIMEOUT));
-        call = context.pool()
+        call = context.calls()
                 .call(
+                        server,
+                        CallKind.DECODE,
                         scope.upstreamRequest(
                                 server.address(),
                                 attempt,
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -15,7 +15,6 @@
 import org.mangoridge.dispatch.balance.ServerHealthTracker;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.gateway.log.EventSink;
-import org.mangoridge.gateway.net.UpstreamPool;
 
 /**
  * The components that all requests of an instance share; used on its event loop.
@@ -24,7 +23,7 @@
  * @param clock the clock
  * @param random the random source
  * @param dialect translates between HTTP messages and requests or responses
- * @param pool the connections to servers
+ * @param calls makes calls to servers
  * @param directory the known servers
  * @param loads the load of each server
  * @param serverHealth the recent results of each server
@@ -41,7 +40,7 @@
         Clock clock,
         RandomGenerator random,
         WireDialect dialect,
-        UpstreamPool pool,
+        ServerCalls calls,
         ServerDirectory directory,
         LoadTracker loads,
         ServerHealthTracker serverHealth,
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -185,8 +185,12 @@
             if (scope.route().repeat().allowsRerun()) {
                 retryTimer = context.schedule(retryDelay(), this::onRetryDelayPassed);
             }
-            call = context.pool()
-                    .call(scope.upstreamRequest(server.address(), attempt, MAX_IDLE_FOR_REUSE, CONNECT_TIMEOUT), this);
+            call = context.calls()
+                    .call(
+                            server,
+                            CallKind.PLAIN,
+                            scope.upstreamRequest(server.address(), attempt, MAX_IDLE_FOR_REUSE, CONNECT_TIMEOUT),
+                            this);
         }
 
         private Duration retryDelay() {
@@ -304,7 +308,7 @@
         private void onRejection() {
             if (reply.isFromOtherServer(server.id())) {
                 context.directory().drop(server.id());
-                context.pool().evict(server.address());
+                context.calls().evict(server.address());
                 context.log().log(LogEvent.SERVER_GONE, Field.of("server", server.id()), Field.of("cause", "replaced"));
             }
             if (!retry(Verdict.NOT_RUN, server.id(), "rejected with " + reply.status())) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -80,8 +80,10 @@
                 scope.caller(), server.id(), scope.remainingTime(), new AttemptWork.Prefill(), OptionalLong.empty());
         timeoutTimer =
                 context.schedule(expectedFirstToken.multipliedBy(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN), this::onTimeout);
-        call = context.pool()
+        call = context.calls()
                 .call(
+                        server,
+                        CallKind.PREFILL,
                         scope.upstreamRequest(
                                 server.address(),
                                 attempt,
@@ -154,7 +156,8 @@
                 context.dialect().cacheReleasePath(handle),
                 new DefaultHttpHeaders(),
                 EngineTimeouts.CONNECT_TIMEOUT);
-        context.pool().call(request, new ReleaseListener(context, server, "release KV cache"));
+        context.calls()
+                .call(server, CallKind.RELEASE, request, new ReleaseListener(context, server, "release KV cache"));
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PromptGuard.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PromptGuard.java
@@ -39,7 +39,7 @@
     private final PromptQuarantine quarantine = PromptQuarantine.create();
     private final EventLoop loop;
     private final Clock clock;
-    private final UpstreamPool pool;
+    private final ServerCalls calls;
     private final ServerDirectory directory;
     private final GatewayMetrics metrics;
     private final EventSink log;
@@ -52,13 +52,13 @@
     private PromptGuard(
             EventLoop loop,
             Clock clock,
-            UpstreamPool pool,
+            ServerCalls calls,
             ServerDirectory directory,
             GatewayMetrics metrics,
             EventSink log) {
         this.loop = loop;
         this.clock = clock;
-        this.pool = pool;
+        this.calls = calls;
         this.directory = directory;
         this.metrics = metrics;
         this.log = log;
@@ -68,11 +68,11 @@
     public static PromptGuard create(
             EventLoop loop,
             Clock clock,
-            UpstreamPool pool,
+            ServerCalls calls,
             ServerDirectory directory,
             GatewayMetrics metrics,
             EventSink log) {
-        return new PromptGuard(loop, clock, pool, directory, metrics, log);
+        return new PromptGuard(loop, clock, calls, directory, metrics, log);
     }
 
     /** Sets the task that runs when this instance has observed a crash, so that it is told to others at once. */
@@ -108,7 +108,7 @@
     }
 
     private void check(ServerEntry server, ServerRun run) {
-        pool.checkListening(server.address(), CHECK_TIMEOUT, listening -> {
+        calls.checkListening(server, CHECK_TIMEOUT, listening -> {
             List<Prompt> prompts = brokenOff.remove(run);
             if (listening != UpstreamPool.Listening.NO) {
                 return;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -79,7 +79,7 @@
                 EngineTimeouts.CONNECT_TIMEOUT);
         timeoutTimer = context.schedule(RESPONSE_TIMEOUT, this::onTimeout);
         reservedUntil = context.now().plus(duration);
-        call = context.pool().call(request, this);
+        call = context.calls().call(server, CallKind.RESERVATION, request, this);
     }
 
     /** Hands over the id of the reservation to the decode attempt; empty if there is none or it has expired. */
@@ -102,7 +102,12 @@
                     new DefaultHttpHeaders(),
                     EngineTimeouts.CONNECT_TIMEOUT);
             reservation = Optional.empty();
-            context.pool().call(request, new ReleaseListener(context, server, "release reservation"));
+            context.calls()
+                    .call(
+                            server,
+                            CallKind.RELEASE,
+                            request,
+                            new ReleaseListener(context, server, "release reservation"));
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
@@ -8,6 +8,7 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.dispatch.limit.RateLimit;
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.CallerRequest;
 import org.mangoridge.dispatch.request.PrefillResponse;
@@ -35,6 +36,13 @@
     /** Reads the status and headers of a server's response. */
     ServerReply readReply(HttpResponse head);
 
+    /**
+     * Reads the rate that a server announces in an answer; empty if it announces none.
+     *
+     * <p>The error is one sentence for the log.
+     */
+    Result<Optional<RateLimit>, String> readAnnouncedLimit(HttpHeaders headers);
+
     /** Reads the body of a prefill server's response; empty if the body is malformed. */
     Optional<PrefillResponse> readPrefillResponse(byte[] body);
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
@@ -20,7 +20,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.verdict.AttemptProgress;
 
-/** Makes HTTP calls with JSON bodies over pooled connections; confined to one event loop. */
+/** Makes HTTP calls with JSON bodies; confined to one event loop. */
 public final class JsonClient {
 
     /** Longest time to connect; a call with a short time limit spends at most half of it on that. */
@@ -32,8 +32,8 @@
     private static final int MAX_ANSWER_BYTES = 8 << 20;
 
     private final EventLoop loop;
-    private final UpstreamPool pool;
-    private final ObjectMapper json = new ObjectMapper();
+    private final RequestSender sender;
+    private final ObjectMapper json;
 
     /**
      * The answer to a call.
@@ -44,14 +44,20 @@
      */
     public record Answer(int status, HttpHeaders headers, JsonNode body) {}
 
-    private JsonClient(EventLoop loop, UpstreamPool pool) {
+    private JsonClient(EventLoop loop, RequestSender sender, ObjectMapper json) {
         this.loop = loop;
-        this.pool = pool;
+        this.sender = sender;
+        this.json = json;
     }
 
-    /** Returns a client whose calls go over the connections of a pool. */
-    public static JsonClient create(EventLoop loop, UpstreamPool pool) {
-        return new JsonClient(loop, pool);
+    /** Returns a client that makes its calls by {@code sender}. */
+    public static JsonClient create(EventLoop loop, RequestSender sender) {
+        return new JsonClient(loop, sender, new ObjectMapper());
+    }
+
+    /** Returns a client like this one that makes its calls by another sender. */
+    public JsonClient withSender(RequestSender other) {
+        return new JsonClient(loop, other, json);
     }
 
     /** Returns the mapper for bodies. */
@@ -115,7 +121,7 @@
                 },
                 timeout.toMillis(),
                 TimeUnit.MILLISECONDS);
-        call[0] = pool.call(request, BodyCollector.of(MAX_ANSWER_BYTES, result -> {
+        call[0] = sender.call(request, BodyCollector.of(MAX_ANSWER_BYTES, result -> {
             if (timer.cancel(false)) {
                 if (!result.isOk() && call[0] != null) {
                     call[0].cancel();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
@@ -1,9 +1,12 @@
 package org.mangoridge.gateway.node;
 
+import io.netty.channel.EventLoop;
 import org.mangoridge.dispatch.config.GatewayConfig;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.follow.ObjectFeed;
 import org.mangoridge.dispatch.follow.StoreEra;
+import org.mangoridge.gateway.exchange.ServerCalls;
+import org.mangoridge.gateway.net.RequestSender;
 import org.mangoridge.gateway.stage.LeaseStore;
 import org.mangoridge.gateway.stage.StageOrderSender;
 
@@ -21,4 +24,18 @@
         ObjectFeed<ServerEntry> servers,
         StageOrderSender orders,
         LeaseStore lease,
-        StoreEra era) {}
+        StoreEra era) {
+
+    /** Creates the connections on the event loop of an instance. */
+    @FunctionalInterface
+    public interface Factory {
+
+        /**
+         * Returns the connections.
+         *
+         * @param store sends requests to the store
+         * @param servers makes calls to servers
+         */
+        GatewayFeeds create(EventLoop loop, RequestSender store, ServerCalls servers);
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -30,6 +29,7 @@
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.PromptGuard;
 import org.mangoridge.gateway.exchange.RequestRouter;
+import org.mangoridge.gateway.exchange.ServerCalls;
 import org.mangoridge.gateway.exchange.WireDialect;
 import org.mangoridge.gateway.gossip.LoadGossipTransport;
 import org.mangoridge.gateway.gossip.LoadReport;
@@ -75,6 +75,7 @@
     private final EventSink log;
     private final NioEventLoopGroup group;
     private final EventLoop loop;
+    private final UpstreamPool pool;
     private final GatewayContext context;
     private final RequestRouter router;
     private final FrontServer front;
@@ -103,15 +104,15 @@
             RandomGenerator random,
             EventSink log,
             WireDialect dialect,
-            BiFunction<EventLoop, UpstreamPool, GatewayFeeds> feedFactory) {
+            GatewayFeeds.Factory feedFactory) {
         this.settings = settings;
         this.clock = clock;
         this.log = log;
         this.shutdownPlan = ShutdownPlan.of(settings.grace());
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
-        this.context = createContext(settings, loop, clock, random, log, dialect);
-        UpstreamPool pool = context.pool();
+        this.pool = UpstreamPool.create(loop, clock);
+        this.context = createContext(settings, loop, pool, clock, random, log, dialect);
         LoadTracker loads = context.loads();
         this.router = RequestRouter.create(context);
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
@@ -130,7 +131,7 @@
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
         this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
-        GatewayFeeds feeds = feedFactory.apply(loop, pool);
+        GatewayFeeds feeds = feedFactory.create(loop, pool::call, context.calls());
         this.stages = StageController.create(
                 settings.instance(),
                 settings.handoverDelay(),
@@ -174,16 +175,17 @@
     private static GatewayContext createContext(
             GatewaySettings settings,
             EventLoop loop,
+            UpstreamPool pool,
             Clock clock,
             RandomGenerator random,
             EventSink log,
             WireDialect dialect) {
-        UpstreamPool pool = UpstreamPool.create(loop, clock);
         ServerDirectory directory = ServerDirectory.create(settings.catchUpTime());
         LoadTracker loads = LoadTracker.create();
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
         GatewayMetrics metrics = GatewayMetrics.create();
+        ServerCalls calls = ServerCalls.create(pool, dialect, metrics, log);
         RetryBudget budget =
                 RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
         return new GatewayContext(
@@ -191,7 +193,7 @@
                 clock,
                 random,
                 dialect,
-                pool,
+                calls,
                 directory,
                 loads,
                 tracks,
@@ -199,7 +201,7 @@
                 budget,
                 PlainBalancer.create(loads, tracks, settings.zone(), random),
                 EngineBalancer.create(loads, tracks, pace, settings.zone()),
-                PromptGuard.create(loop, clock, pool, directory, metrics, log),
+                PromptGuard.create(loop, clock, calls, directory, metrics, log),
                 metrics,
                 log);
     }
@@ -215,7 +217,7 @@
             RandomGenerator random,
             EventSink log,
             WireDialect dialect,
-            BiFunction<EventLoop, UpstreamPool, GatewayFeeds> feedFactory) {
+            GatewayFeeds.Factory feedFactory) {
         return new GatewayNode(settings, clock, random, log, dialect, feedFactory);
     }
 
@@ -305,7 +307,7 @@
         lastTick = now;
         if (delay.compareTo(MIN_REPORTED_PAUSE) > 0) {
             log.log(LogEvent.INSTANCE_PAUSED, Field.of("for_ms", delay));
-            context.pool().evictAll();
+            pool.evictAll();
             configFollower.restart();
             serverFollower.restart();
         }
@@ -315,7 +317,7 @@
         List.of(front, status, metrics).forEach(FrontServer::closeTimedOut);
         if (now.minus(lastSweep).compareTo(POOL_SWEEP_INTERVAL) >= 0) {
             lastSweep = now;
-            context.pool().sweep();
+            pool.sweep();
             context.promptGuard().expire();
         }
         logReadinessChange();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -10,6 +10,7 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.follow.FeedListener;
 import org.mangoridge.gateway.exchange.GatewayContext;
 
@@ -112,7 +113,7 @@
 
     private void handleUnusable(ServerEntry entry) {
         boolean gone = context.directory().find(entry.id()).isEmpty();
-        context.pool().evict(entry.address());
+        context.calls().evict(entry.address());
         context.log().log(
                 gone ? LogEvent.SERVER_GONE : LogEvent.SERVER_LEAVING,
                 Field.of("server", entry.id()),
@@ -122,7 +123,12 @@
 
     private void retainTracks() {
         Set<ServerId> known = new HashSet<>();
-        context.directory().all().forEach(entry -> known.add(entry.id()));
+        Set<ServerRun> runs = new HashSet<>();
+        for (ServerEntry entry : context.directory().all()) {
+            known.add(entry.id());
+            runs.add(ServerRun.of(entry));
+        }
         context.serverHealth().retain(known);
+        context.calls().retain(runs);
     }
 }
