--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/EngineBalancer.java
@@ -15,6 +15,7 @@
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.dispatch.request.TokenDemand;
 
 /**
@@ -54,21 +55,31 @@
 
     private final LoadTracker loads;
     private final ServerHealthTracker health;
+    private final ServerRateLimiter limiter;
     private final PrefillTimeEstimator prefillTimes;
     private final AvailabilityZone zone;
 
     private EngineBalancer(
-            LoadTracker loads, ServerHealthTracker health, PrefillTimeEstimator prefillTimes, AvailabilityZone zone) {
+            LoadTracker loads,
+            ServerHealthTracker health,
+            ServerRateLimiter limiter,
+            PrefillTimeEstimator prefillTimes,
+            AvailabilityZone zone) {
         this.loads = loads;
         this.health = health;
+        this.limiter = limiter;
         this.prefillTimes = prefillTimes;
         this.zone = zone;
     }
 
     /** Creates the balancer of an instance in {@code zone}. */
     public static EngineBalancer create(
-            LoadTracker loads, ServerHealthTracker health, PrefillTimeEstimator prefillTimes, AvailabilityZone zone) {
-        return new EngineBalancer(loads, health, prefillTimes, zone);
+            LoadTracker loads,
+            ServerHealthTracker health,
+            ServerRateLimiter limiter,
+            PrefillTimeEstimator prefillTimes,
+            AvailabilityZone zone) {
+        return new EngineBalancer(loads, health, limiter, prefillTimes, zone);
     }
 
     private record Choice(EnginePlacement placement, double cost, double millis) {}
@@ -154,16 +165,18 @@
         return server.zone().equals(zone) ? 0 : 1;
     }
 
-    /** Returns the servers that are not ejected; all but {@code avoid} if no decode server is left otherwise. */
+    /**
+     * Returns the servers that are not ejected and may be sent a request; ejected ones too if there is no other decode
+     * server, but not because the others are at their limits.
+     */
     private List<ServerEntry> healthy(List<ServerEntry> servers, Set<ServerId> avoid, Duration now) {
         List<ServerEntry> sound = servers.stream()
                 .filter(server -> health.isUsable(server, now) && !avoid.contains(server.id()))
                 .toList();
         boolean canDecode = sound.stream().anyMatch(server -> server.stage() != ServerStage.PREFILL);
-        return canDecode
-                ? sound
-                : servers.stream()
-                        .filter(server -> !avoid.contains(server.id()))
+        return (canDecode ? sound : servers)
+                .stream()
+                        .filter(server -> !avoid.contains(server.id()) && limiter.permits(server, now))
                         .toList();
     }
 
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
@@ -9,6 +9,7 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 
 /**
  * Chooses the server of a plain service for a request: the one with the lowest expected cost, mainly latency.
@@ -29,25 +30,35 @@
 
     private final LoadTracker loads;
     private final ServerHealthTracker health;
+    private final ServerRateLimiter limiter;
     private final AvailabilityZone zone;
     private final RandomGenerator random;
 
     private PlainBalancer(
-            LoadTracker loads, ServerHealthTracker health, AvailabilityZone zone, RandomGenerator random) {
+            LoadTracker loads,
+            ServerHealthTracker health,
+            ServerRateLimiter limiter,
+            AvailabilityZone zone,
+            RandomGenerator random) {
         this.loads = loads;
         this.health = health;
+        this.limiter = limiter;
         this.zone = zone;
         this.random = random;
     }
 
     /** Creates the balancer of an instance in {@code zone}. */
     public static PlainBalancer create(
-            LoadTracker loads, ServerHealthTracker health, AvailabilityZone zone, RandomGenerator random) {
-        return new PlainBalancer(loads, health, zone, random);
+            LoadTracker loads,
+            ServerHealthTracker health,
+            ServerRateLimiter limiter,
+            AvailabilityZone zone,
+            RandomGenerator random) {
+        return new PlainBalancer(loads, health, limiter, zone, random);
     }
 
     /**
-     * Returns the server for a request; empty if none has capacity.
+     * Returns the server for a request; empty if none has capacity and may be sent one now.
      *
      * @param servers the service's servers that accept new requests
      * @param tried servers that were sent the request before; they are not chosen again
@@ -59,7 +70,7 @@
         ServerEntry best = null;
         double bestCost = Double.MAX_VALUE;
         for (ServerEntry server : candidates) {
-            if (tried.contains(server.id()) || !hasCapacity(server)) {
+            if (tried.contains(server.id()) || !hasCapacity(server) || !limiter.permits(server, now)) {
                 continue;
             }
             double cost = cost(server, now);
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/EngineFixture.java
@@ -6,12 +6,14 @@
 import java.util.Set;
 
 import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.dispatch.request.TokenDemand;
 
 /** Model servers of one service and the balancer of an instance in zone {@code a}, on virtual time. */
@@ -23,11 +25,12 @@
 
     final LoadTracker loads = LoadTracker.create();
     final ServerHealthTracker health = ServerHealthTracker.create();
+    private final ServerRateLimiter limiter = ServerRateLimiter.create(InstanceId.of("entry-1"));
     final PrefillTimeEstimator prefillTimes = PrefillTimeEstimator.create();
     final List<ServerEntry> servers = new ArrayList<>();
     Duration now = Duration.ofSeconds(100);
     private final EngineBalancer balancer =
-            EngineBalancer.create(loads, health, prefillTimes, AvailabilityZone.of("a"));
+            EngineBalancer.create(loads, health, limiter, prefillTimes, AvailabilityZone.of("a"));
 
     EngineFixture server(String id, ServerStage stage, String zone) {
         servers.add(new ServerEntry(
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/KvMemorySimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/KvMemorySimulation.java
@@ -10,12 +10,14 @@
 import java.util.SplittableRandom;
 
 import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.dispatch.request.TokenDemand;
 
 /** Streams on decode servers that grow by one event a step, placed by the balancer, on virtual time. */
@@ -30,7 +32,11 @@
     private final SplittableRandom random;
     private final LoadTracker loads = LoadTracker.create();
     private final EngineBalancer balancer = EngineBalancer.create(
-            loads, ServerHealthTracker.create(), PrefillTimeEstimator.create(), AvailabilityZone.of("a"));
+            loads,
+            ServerHealthTracker.create(),
+            ServerRateLimiter.create(InstanceId.of("self")),
+            PrefillTimeEstimator.create(),
+            AvailabilityZone.of("a"));
     private final List<ServerEntry> servers = new ArrayList<>();
     private final List<Stream> streams = new ArrayList<>();
     private Duration now = Duration.ofSeconds(100);
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
@@ -7,11 +7,13 @@
 
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.id.AvailabilityZone;
+import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -22,8 +24,9 @@
 
     private final LoadTracker loads = LoadTracker.create();
     private final ServerHealthTracker health = ServerHealthTracker.create();
+    private final ServerRateLimiter limiter = ServerRateLimiter.create(InstanceId.of("entry-1"));
     private final PlainBalancer balancer =
-            PlainBalancer.create(loads, health, AvailabilityZone.of("a"), new SplittableRandom(7));
+            PlainBalancer.create(loads, health, limiter, AvailabilityZone.of("a"), new SplittableRandom(7));
     private final List<ServerEntry> servers = List.of(server("s-a", "a"), server("s-b", "b"), server("s-c", "c"));
 
     private static ServerEntry server(String id, String zone) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -44,6 +44,7 @@
     private final GatewayContext context;
     private final ModelExchange exchange;
     private final ServerEntry server;
+    private final SendPermit permit;
     private final Duration expectedFirstEvent;
     private ServerLoad load;
     private ServerLoad prefillLoad = ServerLoad.NONE;
@@ -64,10 +65,11 @@
     private boolean ejected;
     private boolean released;
 
-    DecodeStep(GatewayContext context, ModelExchange exchange, ServerEntry server, Duration expectedFirstEvent) {
+    DecodeStep(GatewayContext context, ModelExchange exchange, SendPermit permit, Duration expectedFirstEvent) {
         this.context = context;
         this.exchange = exchange;
-        this.server = server;
+        this.server = permit.server();
+        this.permit = permit;
         this.expectedFirstEvent = expectedFirstEvent;
         this.load = ServerLoad.ofDecode(exchange.scope().caller().tokens(), exchange.spec(), 0);
         context.loads().add(server.id(), load);
@@ -90,8 +92,7 @@
         restartStallTimer(expectedFirstEvent.plus(STALL_TIMEOUT));
         call = context.calls()
                 .call(
-                        server,
-                        CallKind.DECODE,
+                        permit,
                         scope.upstreamRequest(
                                 server.address(),
                                 attempt,
@@ -137,6 +138,9 @@
             }
             errorBody.release();
             errorBody = Unpooled.EMPTY_BUFFER;
+            if (call == null) {
+                context.calls().giveBack(permit);
+            }
             exchange.capacityFreed();
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -14,6 +14,7 @@
 import org.mangoridge.dispatch.balance.RetryBudget;
 import org.mangoridge.dispatch.balance.ServerHealthTracker;
 import org.mangoridge.dispatch.directory.ServerDirectory;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.gateway.log.EventSink;
 
 /**
@@ -24,6 +25,7 @@
  * @param random the random source
  * @param dialect translates between HTTP messages and requests or responses
  * @param calls makes calls to servers
+ * @param limiter keeps the rates that servers announce
  * @param directory the known servers
  * @param loads the load of each server
  * @param serverHealth the recent results of each server
@@ -41,6 +43,7 @@
         RandomGenerator random,
         WireDialect dialect,
         ServerCalls calls,
+        ServerRateLimiter limiter,
         ServerDirectory directory,
         LoadTracker loads,
         ServerHealthTracker serverHealth,
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -21,6 +21,7 @@
 import org.mangoridge.dispatch.balance.QueueDeadlines;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
+import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.PromptPart;
@@ -174,8 +175,8 @@
     void place(EnginePlacement placement) {
         switch (placement) {
             case EnginePlacement.Split split -> {
-                scope.log(
-                        LogEvent.REQUEST_PLACED,
+                scope.logPlaced(
+                        List.of(split.prefill(), split.decode()),
                         Field.of("prefill", split.prefill().id()),
                         Field.of("server", split.decode().id()),
                         Field.of("first_token_ms", split.firstToken()),
@@ -185,9 +186,10 @@
                         Field.of(
                                 "server_kv",
                                 context.loads().total(split.decode().id()).kvTokens()));
-                decode = new DecodeStep(context, this, split.decode(), split.firstToken());
-                prefill = new PrefillStep(context, this, split.prefill(), split.firstToken());
-                if (spec.reservationTtl().isPositive()) {
+                decode = newDecode(split.decode(), split.firstToken());
+                prefill = new PrefillStep(
+                        context, this, context.calls().acquire(split.prefill(), CallKind.PREFILL), split.firstToken());
+                if (spec.reservationTtl().isPositive() && !isLimited(split.decode())) {
                     reservation = new ReservationStep(context, this, split.decode(), split.firstToken());
                     reservation.start();
                 } else {
@@ -195,14 +197,14 @@
                 }
             }
             case EnginePlacement.Direct direct -> {
-                scope.log(
-                        LogEvent.REQUEST_PLACED,
+                scope.logPlaced(
+                        List.of(direct.decode()),
                         Field.of("server", direct.decode().id()),
                         Field.of("first_token_ms", direct.firstToken()),
                         Field.of(
                                 "server_kv",
                                 context.loads().total(direct.decode().id()).kvTokens()));
-                decode = new DecodeStep(context, this, direct.decode(), direct.firstToken());
+                decode = newDecode(direct.decode(), direct.firstToken());
                 decode.start(new AttemptWork.FullRequest());
             }
             case EnginePlacement.NoCapacity none ->
@@ -210,6 +212,16 @@
         }
     }
 
+    /** The permit is taken now, so that no prefill is wasted on a decode server that has reached its limit by then. */
+    private DecodeStep newDecode(ServerEntry server, Duration firstToken) {
+        return new DecodeStep(context, this, context.calls().acquire(server, CallKind.DECODE), firstToken);
+    }
+
+    /** A reservation would use up a permit; without one, the server may reject the decode instead. */
+    private boolean isLimited(ServerEntry server) {
+        return context.limiter().limit(ServerRun.of(server)).isPresent();
+    }
+
     /** Refuses the request because its maximum queueing time has passed. */
     void waitTimedOut() {
         giveUp(
@@ -297,7 +309,7 @@
                 detail,
                 Field.of("repeated", true),
                 Field.of("next", other.get().id()));
-        decode = new DecodeStep(context, this, other.get(), CACHE_IMPORT_TIME);
+        decode = newDecode(other.get(), CACHE_IMPORT_TIME);
         decode.start(prefill.decodeWork(Optional.empty()));
         return true;
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -89,12 +89,12 @@
         tried.add(server.id());
         scope.recordSend();
         int busy = context.loads().total(server.id()).requests();
-        scope.log(
-                LogEvent.REQUEST_PLACED,
+        scope.logPlaced(
+                List.of(server),
                 Field.of("server", server.id()),
                 Field.of("server_busy", busy),
                 Field.of("error_share", context.serverHealth().errorShare(server.id(), context.now())));
-        current = new PlainAttempt(server);
+        current = new PlainAttempt(context.calls().acquire(server, CallKind.PLAIN));
         current.start();
     }
 
@@ -120,7 +120,7 @@
 
     private void giveUp(RefusalReason reason, String detail) {
         end();
-        Duration after = MIN_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_AFTER_JITTER_MILLIS));
+        Duration after = returnTime();
         scope.refuse(
                 reason,
                 detail,
@@ -130,6 +130,19 @@
                         context.plainBalancer().occupancy(context.directory().usable(scope.service()))));
     }
 
+    /** Returns when the caller may return: soon, or when this instance may send a server that is at its limit more. */
+    private Duration returnTime() {
+        Duration soon = MIN_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_AFTER_JITTER_MILLIS));
+        List<ServerEntry> servers = context.directory().usable(scope.service());
+        boolean atLimit = !servers.isEmpty()
+                && servers.stream().noneMatch(server -> context.limiter().permits(server, context.now()));
+        if (!atLimit) {
+            return soon;
+        }
+        Duration next = context.limiter().nextReturn(scope.service(), servers, context.now());
+        return next.compareTo(soon) > 0 ? next : soon;
+    }
+
     private void end() {
         ended = true;
         deadlineTimer.cancel(false);
@@ -159,6 +172,7 @@
     private final class PlainAttempt implements CallListener {
 
         private final ServerEntry server;
+        private final SendPermit permit;
         private final Duration started;
         private UpstreamCall call;
         private ScheduledFuture<?> retryTimer;
@@ -168,8 +182,9 @@
         private boolean closed;
         private boolean outcomeRecorded;
 
-        PlainAttempt(ServerEntry server) {
-            this.server = server;
+        PlainAttempt(SendPermit permit) {
+            this.server = permit.server();
+            this.permit = permit;
             this.started = context.now();
         }
 
@@ -187,8 +202,7 @@
             }
             call = context.calls()
                     .call(
-                            server,
-                            CallKind.PLAIN,
+                            permit,
                             scope.upstreamRequest(server.address(), attempt, MAX_IDLE_FOR_REUSE, CONNECT_TIMEOUT),
                             this);
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -7,8 +7,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
@@ -24,7 +22,6 @@
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
-import org.mangoridge.gateway.net.UpstreamRequest;
 
 /** Runs the prefill of a request at a prefill server and keeps track of the resulting KV cache. */
 final class PrefillStep implements CallListener {
@@ -41,6 +38,7 @@
     private final GatewayContext context;
     private final ModelExchange exchange;
     private final ServerEntry server;
+    private final SendPermit permit;
     private final Duration expectedFirstToken;
     private final double expectedMillis;
     private final ServerLoad load;
@@ -55,10 +53,11 @@
     private boolean prefilling = true;
     private boolean holdsCache = true;
 
-    PrefillStep(GatewayContext context, ModelExchange exchange, ServerEntry server, Duration expectedFirstToken) {
+    PrefillStep(GatewayContext context, ModelExchange exchange, SendPermit permit, Duration expectedFirstToken) {
         this.context = context;
         this.exchange = exchange;
-        this.server = server;
+        this.server = permit.server();
+        this.permit = permit;
         this.expectedFirstToken = expectedFirstToken;
         int prompt = exchange.scope().caller().tokens().prompt();
         long ahead = context.loads().total(server.id()).prefillTokens();
@@ -82,8 +81,7 @@
                 context.schedule(expectedFirstToken.multipliedBy(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN), this::onTimeout);
         call = context.calls()
                 .call(
-                        server,
-                        CallKind.PREFILL,
+                        permit,
                         scope.upstreamRequest(
                                 server.address(),
                                 attempt,
@@ -121,6 +119,7 @@
             prefilling = false;
             holdsCache = false;
             body.release();
+            context.calls().giveBack(permit);
         } else if (prefilling) {
             call.cancel();
             finishPrefill();
@@ -150,14 +149,7 @@
 
     private void releaseCache() {
         context.metrics().count("prefills.unused");
-        UpstreamRequest request = UpstreamRequest.withoutBody(
-                server.address(),
-                HttpMethod.DELETE,
-                context.dialect().cacheReleasePath(handle),
-                new DefaultHttpHeaders(),
-                EngineTimeouts.CONNECT_TIMEOUT);
-        context.calls()
-                .call(server, CallKind.RELEASE, request, new ReleaseListener(context, server, "release KV cache"));
+        ReleaseListener.release(context, server, context.dialect().cacheReleasePath(handle), "release KV cache");
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -176,6 +176,7 @@
     private void serve(CallerExchange exchange, Route route, CallerRequest caller) {
         ServiceId service = route.serviceOf(caller.id());
         context.retryBudget().recordRequest(service, context.now());
+        context.limiter().recordRequest(service, context.now());
         RequestScope scope = new RequestScope(context, exchange, route, service, caller, config.version());
         Optional<ServiceSpec> spec = config.service(service);
         if (spec.isPresent() && spec.get().engine().isPresent()) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -16,6 +16,7 @@
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.dispatch.config.Route;
+import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.CallerRequest;
 import org.mangoridge.gateway.net.CallerExchange;
@@ -138,6 +139,13 @@
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
     }
 
+    /** Logs where the request goes, and how limits bear on that. */
+    void logPlaced(List<ServerEntry> chosen, Field... inputs) {
+        List<Field> fields = new ArrayList<>(List.of(inputs));
+        fields.addAll(context.calls().limitFields(chosen, context.directory().usable(service)));
+        log(LogEvent.REQUEST_PLACED, fields.toArray(Field[]::new));
+    }
+
     /** Logs an event with the fields that identify the request. */
     void log(LogEvent event, Field... inputs) {
         Field[] fields = new Field[inputs.length + 6];
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -79,7 +79,7 @@
                 EngineTimeouts.CONNECT_TIMEOUT);
         timeoutTimer = context.schedule(RESPONSE_TIMEOUT, this::onTimeout);
         reservedUntil = context.now().plus(duration);
-        call = context.calls().call(server, CallKind.RESERVATION, request, this);
+        call = context.calls().call(context.calls().acquire(server, CallKind.RESERVATION), request, this);
     }
 
     /** Hands over the id of the reservation to the decode attempt; empty if there is none or it has expired. */
@@ -95,19 +95,9 @@
             finishCall();
             call.cancel();
         } else if (reservation.isPresent()) {
-            UpstreamRequest request = UpstreamRequest.withoutBody(
-                    server.address(),
-                    HttpMethod.DELETE,
-                    context.dialect().reservationReleasePath(reservation.get()),
-                    new DefaultHttpHeaders(),
-                    EngineTimeouts.CONNECT_TIMEOUT);
+            String path = context.dialect().reservationReleasePath(reservation.get());
             reservation = Optional.empty();
-            context.calls()
-                    .call(
-                            server,
-                            CallKind.RELEASE,
-                            request,
-                            new ReleaseListener(context, server, "release reservation"));
+            ReleaseListener.release(context, server, path, "release reservation");
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -1,8 +1,8 @@
 package org.mangoridge.gateway.exchange;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -13,9 +13,12 @@
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.net.HostPort;
+import org.mangoridge.core.time.Clock;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
+import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.limit.RateLimit;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
@@ -24,38 +27,114 @@
 import org.mangoridge.gateway.net.UpstreamRequest;
 
 /**
- * The one way to call a server: counts the calls and reads what every answer announces; used on the event loop.
+ * The one way to call a server: counts every call towards the server's limit and reads what the answers announce; used on
+ * the event loop.
  *
  * <p>Calls to the platform's store do not go through here.
  */
 public final class ServerCalls {
 
     private final UpstreamPool pool;
+    private final Clock clock;
     private final WireDialect dialect;
+    private final ServerRateLimiter limiter;
     private final GatewayMetrics metrics;
     private final EventSink log;
-    /** The limits that servers announced last; those without one are absent. */
-    private final Map<ServerRun, RateLimit> limits = new HashMap<>();
-
-    private ServerCalls(UpstreamPool pool, WireDialect dialect, GatewayMetrics metrics, EventSink log) {
+    private Runnable onLimitChange = () -> {};
+
+    private ServerCalls(
+            UpstreamPool pool,
+            Clock clock,
+            WireDialect dialect,
+            ServerRateLimiter limiter,
+            GatewayMetrics metrics,
+            EventSink log) {
         this.pool = pool;
+        this.clock = clock;
         this.dialect = dialect;
+        this.limiter = limiter;
         this.metrics = metrics;
         this.log = log;
     }
 
     /** Returns an object that makes calls over the connections of a pool. */
-    public static ServerCalls create(UpstreamPool pool, WireDialect dialect, GatewayMetrics metrics, EventSink log) {
-        return new ServerCalls(pool, dialect, metrics, log);
+    public static ServerCalls create(
+            UpstreamPool pool,
+            Clock clock,
+            WireDialect dialect,
+            ServerRateLimiter limiter,
+            GatewayMetrics metrics,
+            EventSink log) {
+        return new ServerCalls(pool, clock, dialect, limiter, metrics, log);
+    }
+
+    /** Sets the task that runs when an answer has changed what is known of a limit. */
+    public void onLimitChange(Runnable task) {
+        onLimitChange = task;
+    }
+
+    /** Returns the permit for a call to a server that a balancer chose, which asks the limiter before. */
+    SendPermit acquire(ServerEntry server, CallKind kind) {
+        limiter.take(server, clock.elapsed());
+        return new SendPermit(server, kind);
+    }
+
+    /** Returns the permit for a call to a server; empty if its limit does not allow one now. */
+    public Optional<SendPermit> tryAcquire(ServerEntry server, CallKind kind) {
+        if (!limiter.permits(server, clock.elapsed())) {
+            metrics.count("sends.withheld");
+            return Optional.empty();
+        }
+        return Optional.of(acquire(server, kind));
+    }
+
+    /** Gives back a permit without which no call was made. */
+    void giveBack(SendPermit permit) {
+        limiter.giveBack(permit.server());
     }
 
-    /** Calls a server; {@code listener} receives the events of the call unless it is cancelled. */
-    public UpstreamCall call(ServerEntry server, CallKind kind, UpstreamRequest request, CallListener listener) {
-        metrics.count(kind.counter());
-        if (limits.containsKey(ServerRun.of(server))) {
+    /** Makes the call of a permit; {@code listener} receives the events of the call unless it is cancelled. */
+    public UpstreamCall call(SendPermit permit, UpstreamRequest request, CallListener listener) {
+        metrics.count(permit.kind().counter());
+        if (limiter.limit(ServerRun.of(permit.server())).isPresent()) {
             metrics.count("sends.to_limited");
         }
-        return pool.call(request, new AnnouncementReader(server, kind, listener));
+        return pool.call(request, new AnnouncementReader(permit, listener));
+    }
+
+    /** Adds what a peer told of limits; returns whether that changes what is known. */
+    public boolean mergeLimits(List<LimitStatus> told) {
+        Set<ServerRun> changed = limiter.merge(told, clock.elapsed());
+        changed.forEach(run -> logLimit(run, "peer"));
+        return !changed.isEmpty();
+    }
+
+    private void logLimit(ServerRun run, String toldBy) {
+        log.log(
+                LogEvent.SERVER_LIMIT_CHANGED,
+                Field.of("server", run.server()),
+                Field.of("limit", limiter.limit(run).map(RateLimit::toString).orElse("none")),
+                Field.of("told_by", toldBy));
+    }
+
+    /** Returns fields that tell how the limits of servers bear on the choice of one; none if there are no limits. */
+    List<Field> limitFields(List<ServerEntry> chosen, List<ServerEntry> servers) {
+        Duration now = clock.elapsed();
+        List<Field> fields = new ArrayList<>();
+        long withheld =
+                servers.stream().filter(server -> !limiter.permits(server, now)).count();
+        if (withheld > 0) {
+            fields.add(Field.of("at_limit", withheld));
+        }
+        for (ServerEntry server : chosen) {
+            limiter.share(server, now).ifPresent(share -> {
+                fields.add(Field.of("limited", server.id()));
+                fields.add(Field.of("limit", share.limit()));
+                fields.add(Field.of("limit_share", share.requestsPerSecond()));
+                fields.add(Field.of("limit_age_ms", share.silence()));
+            });
+        }
+        return fields;
     }
 
     /** Finds out whether a server accepts connections; see {@link UpstreamPool#checkListening}. */
@@ -68,27 +147,17 @@
         pool.evict(address);
     }
 
-    /** Returns the limit that a server announced last. */
-    Optional<RateLimit> limitOf(ServerEntry server) {
-        return Optional.ofNullable(limits.get(ServerRun.of(server)));
-    }
-
-    /** Forgets the limits of all servers but the given ones. */
-    public void retain(Set<ServerRun> known) {
-        limits.keySet().retainAll(known);
-    }
-
     /** Passes the events of a call on and reads the announcements in the head of the answer. */
     private final class AnnouncementReader implements CallListener {
 
-        private final ServerEntry server;
-        private final CallKind kind;
+        private final SendPermit permit;
         private final CallListener listener;
+        private final Duration sentAt;
 
-        AnnouncementReader(ServerEntry server, CallKind kind, CallListener listener) {
-            this.server = server;
-            this.kind = kind;
+        AnnouncementReader(SendPermit permit, CallListener listener) {
+            this.permit = permit;
             this.listener = listener;
+            this.sentAt = clock.elapsed();
         }
 
         @Override
@@ -103,8 +172,9 @@
         }
 
         private void readLimit(HttpResponse response) {
+            ServerEntry server = permit.server();
             // A release does not name its server, and another one may have the address by now.
-            if (kind == CallKind.RELEASE || dialect.readReply(response).misdirected()) {
+            if (permit.kind() == CallKind.RELEASE || dialect.readReply(response).misdirected()) {
                 return;
             }
             Result<Optional<RateLimit>, String> announced = dialect.readAnnouncedLimit(response.headers());
@@ -113,22 +183,10 @@
                         LogEvent.SERVER_LIMIT_UNREADABLE,
                         Field.of("server", server.id()),
                         Field.of("detail", announced.error()));
-                return;
+            } else if (limiter.recordAnswer(server, announced.value(), sentAt, clock.elapsed())) {
+                logLimit(ServerRun.of(server), "server");
+                onLimitChange.run();
             }
-            ServerRun run = ServerRun.of(server);
-            Optional<RateLimit> before = Optional.ofNullable(limits.get(run));
-            if (!announced.value().equals(before)) {
-                announced.value().ifPresentOrElse(limit -> limits.put(run, limit), () -> limits.remove(run));
-                log.log(
-                        LogEvent.SERVER_LIMIT_CHANGED,
-                        Field.of("server", server.id()),
-                        Field.of("limit", text(announced.value())),
-                        Field.of("before", text(before)));
-            }
-        }
-
-        private static String text(Optional<RateLimit> limit) {
-            return limit.map(RateLimit::toString).orElse("none");
         }
 
         @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/EvidencePages.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/EvidencePages.java
@@ -1,6 +1,5 @@
 package org.mangoridge.gateway.gossip;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,11 +8,7 @@
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.request.PromptPart;
 
-/**
- * Divides evidence of crashes into pages that fit into a datagram. Not thread-safe.
- *
- * <p>Each page holds the newest crashes, which are the least known, and some of the others in turn.
- */
+/** Divides evidence of crashes into pages that fit into a datagram. Not thread-safe. */
 final class EvidencePages {
 
     /** Maximum encoded size of the crashes of a page; with sound answers and headers it fits into an Ethernet MTU. */
@@ -21,27 +16,12 @@
     /** Encoded size of a crash without its prompts. */
     private static final int CRASH_BYTES = 32;
 
-    private int turn;
+    private final RotatingPage<CrashEvidence.Crash> crashes =
+            new RotatingPage<>(MAX_CRASH_BYTES, EvidencePages::sizeOf);
 
     /** Returns the next page. */
     CrashEvidence next(CrashEvidence all) {
-        List<CrashEvidence.Crash> page = new ArrayList<>();
-        int size = 0;
-        int newest = 0;
-        while (newest < all.crashes().size() && size + sizeOf(all.crashes().get(newest)) <= MAX_CRASH_BYTES / 2) {
-            size += sizeOf(all.crashes().get(newest));
-            page.add(all.crashes().get(newest++));
-        }
-        int others = all.crashes().size() - newest;
-        for (int i = 0; i < others; i++) {
-            CrashEvidence.Crash crash = all.crashes().get(newest + turn % others);
-            if (!page.isEmpty() && size + sizeOf(crash) > MAX_CRASH_BYTES) {
-                break;
-            }
-            size += sizeOf(crash);
-            page.add(crash);
-            turn++;
-        }
+        List<CrashEvidence.Crash> page = crashes.next(all.crashes());
         return new CrashEvidence(page, soundAnswers(page, all));
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.apache.thrift.TBase;
 import org.apache.thrift.TDeserializer;
@@ -17,9 +18,12 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.ServerLoad;
 import org.mangoridge.dispatch.directory.ServerRun;
+import org.mangoridge.dispatch.limit.LimitStatus;
+import org.mangoridge.dispatch.limit.RateLimit;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.request.PromptPart;
@@ -27,7 +31,9 @@
 import org.mangoridge.gateway.thrift.LoadMessage;
 import org.mangoridge.gateway.thrift.PromptParts;
 import org.mangoridge.gateway.thrift.ServerCrash;
+import org.mangoridge.gateway.thrift.ServerLimit;
 import org.mangoridge.gateway.thrift.ServerShare;
+import org.mangoridge.gateway.thrift.ServiceDemand;
 import org.mangoridge.gateway.thrift.SoundPart;
 
 /** Encodes and decodes load reports and the datagrams that carry batches of them. */
@@ -46,8 +52,18 @@
     /** Bounds the characters of the id of a part of a prompt. */
     private static final int MAX_PART_LENGTH = 64;
 
-    /** The content of a datagram: encoded reports, whether the receiver is to forward them, and evidence of crashes. */
-    record Batch(List<byte[]> reports, boolean passOn, CrashEvidence evidence) {}
+    /** Bounds the demand of one instance, so that sums over all do not overflow. */
+    private static final int MAX_DEMAND = 1 << 24;
+
+    /**
+     * The content of a datagram.
+     *
+     * @param reports encoded reports
+     * @param passOn whether the receiver is to forward them
+     * @param evidence evidence of crashes of servers
+     * @param limits limits of servers
+     */
+    record Batch(List<byte[]> reports, boolean passOn, CrashEvidence evidence, List<LimitStatus> limits) {}
 
     private LoadCodec() {}
 
@@ -76,7 +92,10 @@
                         origin.milliCores(),
                         report.relaying(),
                         report.storeVersions().serversRevision())
-                .setStoreEra(report.storeVersions().era()));
+                .setStoreEra(report.storeVersions().era())
+                .setDemands(report.demands().entrySet().stream()
+                        .map(each -> new ServiceDemand(each.getKey().value(), each.getValue()))
+                        .toList()));
     }
 
     static byte[] encodeBatch(List<byte[]> reports, boolean passOn) {
@@ -101,6 +120,33 @@
         return write(new LoadBatch(List.of(), passOn).setCrashes(crashes).setSoundParts(soundParts));
     }
 
+    static byte[] encodeLimits(List<LimitStatus> limits, boolean passOn) {
+        List<ServerLimit> encoded = new ArrayList<>();
+        for (LimitStatus status : limits) {
+            ServerRun run = status.run();
+            ServerLimit limit = new ServerLimit(
+                    run.server().value(),
+                    run.startedMillis(),
+                    status.version(),
+                    status.silence().toMillis());
+            status.limit().ifPresent(rate -> limit.setRequestsPerSecond(rate.requestsPerSecond()));
+            encoded.add(limit);
+        }
+        return write(new LoadBatch(List.of(), passOn).setLimits(encoded));
+    }
+
+    private static List<LimitStatus> limits(LoadBatch batch) {
+        return batch.getLimits().stream()
+                .map(limit -> new LimitStatus(
+                        new ServerRun(ServerId.of(limit.getServer()), limit.getStartedMillis()),
+                        limit.getVersion(),
+                        limit.isSetRequestsPerSecond()
+                                ? Optional.of(new RateLimit(limit.getRequestsPerSecond()))
+                                : Optional.empty(),
+                        Duration.ofMillis(limit.getSilenceMillis())))
+                .toList();
+    }
+
     private static CrashEvidence evidence(LoadBatch batch) {
         List<CrashEvidence.Crash> crashes = new ArrayList<>();
         for (ServerCrash crash : batch.getCrashes()) {
@@ -138,7 +184,7 @@
         LoadBatch batch = new LoadBatch();
         try {
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
-            return Result.ok(new Batch(reports(batch), batch.isPassOn(), evidence(batch)));
+            return Result.ok(new Batch(reports(batch), batch.isPassOn(), evidence(batch), limits(batch)));
         } catch (TException | RuntimeException e) {
             // The library throws unchecked exceptions for some malformed messages.
             return Result.err(String.valueOf(e));
@@ -170,6 +216,14 @@
                                 share.getKvTokens(),
                                 share.getGrowthTokens()));
             }
+            Map<ServiceId, Integer> demands = new HashMap<>();
+            for (ServiceDemand demand : message.getDemands()) {
+                Checks.argument(
+                        demand.getWeight() > 0 && demand.getWeight() <= MAX_DEMAND,
+                        "demand for %s is out of bounds",
+                        demand.getServiceName());
+                demands.put(ServiceId.of(demand.getServiceName()), demand.getWeight());
+            }
             LoadReport.Origin origin = new LoadReport.Origin(
                     InstanceId.of(message.getSender()),
                     message.getStartedMillis(),
@@ -180,6 +234,7 @@
                     origin,
                     message.getSequence(),
                     loads,
+                    demands,
                     message.getPeers().stream().map(this::parseAddress).toList(),
                     new LoadReport.StoreVersions(
                             message.getStoreEra(), message.getConfigVersion(), message.getServersRevision()),
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.InstanceId;
@@ -17,6 +16,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
 /**
@@ -49,7 +49,7 @@
     /** Send interval per target relay; limits the datagrams between relays to about 330 a second in any fleet. */
     private static final Duration SEND_INTERVAL_PER_RELAY = Duration.ofMillis(3);
 
-    /** Interval at which evidence of crashes is told again, so that lost datagrams and restarts do not matter. */
+    /** Interval at which evidence of crashes and limits are told again, so that lost datagrams and restarts do not matter. */
     static final Duration EVIDENCE_INTERVAL = Duration.ofMillis(1500);
     /** Interval at which new evidence is repeated, since any datagram can be lost and many instances must act soon. */
     private static final Duration NEW_EVIDENCE_INTERVAL = Duration.ofMillis(500);
@@ -73,6 +73,8 @@
     private static final Duration MAX_FORWARD_INTERVAL = Duration.ofSeconds(1);
     /** Maximum size of the reports in one datagram; with headers it fits into an Ethernet MTU of 1,500 bytes. */
     private static final int MAX_BATCH_BYTES = 1200;
+    /** Maximum encoded size of the limit of a server without its id. */
+    private static final int MAX_LIMIT_BYTES = 40;
     /** Addresses without a live instance that are probed with each heartbeat in a mesh. */
     private static final int PROBES_IN_MESH = 64;
     /** The same for a relay; other instances of a large fleet probe none. */
@@ -81,10 +83,9 @@
     private final LoadReport.Origin self;
     private final PeerTable table;
     private final RelayPlan plan;
-    private final Supplier<Map<ServerId, ServerLoad>> ownLoads;
-    private final Supplier<LoadReport.StoreVersions> storeVersions;
-    private final Supplier<CrashEvidence> evidence;
+    private final LocalState local;
     private final EvidencePages evidencePages = new EvidencePages();
+    private final RotatingPage<LimitStatus> limitPages = new RotatingPage<>(MAX_BATCH_BYTES, LoadGossip::sizeOf);
     private final LoadCodec codec = LoadCodec.create();
     private final Outbox targetOutbox = new Outbox();
     private final Outbox subscriberOutbox = new Outbox();
@@ -130,38 +131,24 @@
     /** A report that is newer than the last known one, and its effect on the peer table. */
     record ReceivedReport(LoadReport report, PeerTable.Outcome outcome) {}
 
-    private LoadGossip(
-            LoadReport.Origin self,
-            PeerTable table,
-            Supplier<Map<ServerId, ServerLoad>> ownLoads,
-            Supplier<LoadReport.StoreVersions> storeVersions,
-            Supplier<CrashEvidence> evidence) {
-        this.evidence = evidence;
+    private LoadGossip(LoadReport.Origin self, PeerTable table, LocalState local) {
         this.self = self;
         this.table = table;
         this.plan = RelayPlan.create(self, table);
-        this.ownLoads = ownLoads;
-        this.storeVersions = storeVersions;
+        this.local = local;
         this.routes = new RelayPlan.Routes(true, true, List.of(), List.of());
     }
 
-    /**
-     * Returns a protocol instance that has sent and received nothing.
-     *
-     * @param ownLoads supplies the load that this instance puts on each server
-     * @param storeVersions supplies the versions of stored data that this instance has
-     * @param evidence supplies what this instance knows of crashes of servers
-     */
-    static LoadGossip create(
-            LoadReport.Origin self,
-            PeerTable table,
-            Supplier<Map<ServerId, ServerLoad>> ownLoads,
-            Supplier<LoadReport.StoreVersions> storeVersions,
-            Supplier<CrashEvidence> evidence) {
-        return new LoadGossip(self, table, ownLoads, storeVersions, evidence);
+    /** Returns a protocol instance that has sent and received nothing. */
+    static LoadGossip create(LoadReport.Origin self, PeerTable table, LocalState local) {
+        return new LoadGossip(self, table, local);
     }
 
-    /** Schedules evidence that this instance has observed, or that a relay has received, to be told soon. */
+    private static int sizeOf(LimitStatus status) {
+        return status.run().server().value().length() + MAX_LIMIT_BYTES;
+    }
+
+    /** Schedules evidence or limits that this instance has observed, or that a relay has received, to be told soon. */
     void evidenceChanged(Duration now) {
         Duration due = max(now.plus(URGENT_BATCH_DELAY), lastEvidence.plus(MIN_EVIDENCE_INTERVAL));
         nextEvidence = due.compareTo(nextEvidence) < 0 ? due : nextEvidence;
@@ -196,15 +183,17 @@
      *
      * @param reports the reports that were not stale
      * @param evidence evidence of crashes of servers
+     * @param limits limits of servers
      * @param error why the datagram, or the last undecodable report in it, could not be decoded; empty if all could
      */
-    record Reception(List<ReceivedReport> reports, CrashEvidence evidence, Optional<String> error) {}
+    record Reception(
+            List<ReceivedReport> reports, CrashEvidence evidence, List<LimitStatus> limits, Optional<String> error) {}
 
     /** Processes a datagram; an undecodable report does not affect the others. */
     Reception receive(byte[] bytes, HostPort from, Duration now) {
         Result<LoadCodec.Batch, String> batch = LoadCodec.decodeBatch(bytes);
         if (!batch.isOk()) {
-            return new Reception(List.of(), CrashEvidence.NONE, Optional.of(batch.error()));
+            return new Reception(List.of(), CrashEvidence.NONE, List.of(), Optional.of(batch.error()));
         }
         Optional<String> error = Optional.empty();
         boolean passOn = batch.value().passOn();
@@ -233,7 +222,7 @@
                 forward(new ReceivedReport(report, outcome), encoded, passOn, now);
             }
         }
-        return new Reception(received, batch.value().evidence(), error);
+        return new Reception(received, batch.value().evidence(), batch.value().limits(), error);
     }
 
     /** Schedules a reply to a relay or new instance; a new one sends as in a mesh until replies tell it of its peers. */
@@ -324,20 +313,28 @@
         nextEvidence = now.plus(evidenceRepeats > 0 ? NEW_EVIDENCE_INTERVAL : EVIDENCE_INTERVAL);
         evidenceRepeats = Math.max(0, evidenceRepeats - 1);
         lastEvidence = now;
-        CrashEvidence page = evidencePages.next(evidence.get());
-        if (!page.isEmpty()) {
-            // A relay takes a datagram that is not to be passed on for a sign that its sender is no subscriber.
-            byte[] bytes = LoadCodec.encodeEvidence(page, !routes.relaying());
-            Set<HostPort> receivers = new LinkedHashSet<>(routes.targets());
-            receivers.addAll(routes.subscribers());
-            receivers.forEach(receiver -> datagrams.add(new Datagram(receiver, bytes)));
+        // A relay takes a datagram that is not to be passed on for a sign that its sender is no subscriber.
+        boolean passOn = !routes.relaying();
+        CrashEvidence crashes = evidencePages.next(local.evidence());
+        if (!crashes.isEmpty()) {
+            sendToAll(LoadCodec.encodeEvidence(crashes, passOn), datagrams);
         }
+        List<LimitStatus> limits = limitPages.next(local.limits());
+        if (!limits.isEmpty()) {
+            sendToAll(LoadCodec.encodeLimits(limits, passOn), datagrams);
+        }
+    }
+
+    private void sendToAll(byte[] bytes, List<Datagram> datagrams) {
+        Set<HostPort> receivers = new LinkedHashSet<>(routes.targets());
+        receivers.addAll(routes.subscribers());
+        receivers.forEach(receiver -> datagrams.add(new Datagram(receiver, bytes)));
     }
 
     private void sendHeartbeat(Duration now, List<Datagram> datagrams) {
         nextHeartbeat = now.plus(heartbeatInterval());
         reply(datagrams);
-        Map<ServerId, ServerLoad> loads = ownLoads.get();
+        Map<ServerId, ServerLoad> loads = local.loads();
         List<HostPort> knownAddresses = routes.relaying() ? table.sampleLiveAddresses() : List.of();
         byte[] own = LoadCodec.encode(report(loads, knownAddresses, false));
         send(targetOutbox.reports.values(), own, routes.targets(), !routes.relaying(), datagrams);
@@ -356,7 +353,7 @@
 
     private void reply(List<Datagram> datagrams) {
         if (!awaitingReply.isEmpty()) {
-            byte[] own = LoadCodec.encode(report(ownLoads.get(), table.sampleLiveAddresses(), false));
+            byte[] own = LoadCodec.encode(report(local.loads(), table.sampleLiveAddresses(), false));
             send(List.of(), own, awaitingReply, false, datagrams);
             awaitingReply.clear();
         }
@@ -394,7 +391,7 @@
 
     private void flush(Outbox outbox, Collection<HostPort> receivers, Duration now, List<Datagram> datagrams) {
         byte[] own = null;
-        Map<ServerId, ServerLoad> loads = outbox.ownLoadChanged ? ownLoads.get() : outbox.lastSentLoads;
+        Map<ServerId, ServerLoad> loads = outbox.ownLoadChanged ? local.loads() : outbox.lastSentLoads;
         if (outbox.ownLoadChanged && !loads.equals(outbox.lastSentLoads)) {
             outbox.lastSentLoads = loads;
             own = LoadCodec.encode(report(loads, List.of(), false));
@@ -421,7 +418,15 @@
     }
 
     private LoadReport report(Map<ServerId, ServerLoad> loads, List<HostPort> knownAddresses, boolean leaving) {
-        return new LoadReport(self, ++sequence, loads, knownAddresses, storeVersions.get(), routes.relaying(), leaving);
+        return new LoadReport(
+                self,
+                ++sequence,
+                loads,
+                local.demands(),
+                knownAddresses,
+                local.storeVersions(),
+                routes.relaying(),
+                leaving);
     }
 
     private static void send(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -11,7 +12,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -19,12 +19,14 @@
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.InstanceId;
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.core.time.Clock;
-import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
-import org.mangoridge.gateway.exchange.PromptGuard;
-import org.mangoridge.gateway.log.EventSink;
+import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.limit.LimitStatus;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
+import org.mangoridge.gateway.exchange.GatewayContext;
 
 /** Sends and receives load reports over UDP on behalf of {@link LoadGossip}; confined to one event loop. */
 public final class LoadGossipTransport {
@@ -32,74 +34,84 @@
     /** Interval at which timed out peers are removed, a tenth of {@link PeerTable#PEER_TIMEOUT}. */
     private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(400);
 
-    private final EventLoop loop;
-    private final Clock clock;
+    private final GatewayContext context;
     private final PeerTable table;
-    private final LoadTracker loads;
     private final LoadGossip gossip;
-    private final PromptGuard guard;
     private final Runnable onPeerLoadChange;
-    private final EventSink log;
     private Channel channel;
     private ScheduledFuture<?> timer;
     private Duration scheduledFor;
     private Duration lastExpiry = Duration.ZERO;
 
-    private LoadGossipTransport(
-            EventLoop loop,
-            Clock clock,
-            PeerTable table,
-            LoadTracker loads,
-            LoadGossip gossip,
-            PromptGuard guard,
-            Runnable onPeerLoadChange,
-            EventSink log) {
-        this.loop = loop;
-        this.clock = clock;
+    /** What an instance tells its peers, from the components that its requests use. */
+    private record ContextState(GatewayContext context, Supplier<LoadReport.StoreVersions> versions)
+            implements LocalState {
+
+        @Override
+        public Map<ServerId, ServerLoad> loads() {
+            return context.loads().ownLoads();
+        }
+
+        @Override
+        public Map<ServiceId, Integer> demands() {
+            return context.limiter().demand(context.now());
+        }
+
+        @Override
+        public LoadReport.StoreVersions storeVersions() {
+            return versions.get();
+        }
+
+        @Override
+        public CrashEvidence evidence() {
+            return context.promptGuard().evidence();
+        }
+
+        @Override
+        public List<LimitStatus> limits() {
+            return context.limiter().statuses(context.now());
+        }
+    }
+
+    private LoadGossipTransport(GatewayContext context, PeerTable table, LoadGossip gossip, Runnable onPeerLoadChange) {
+        this.context = context;
         this.table = table;
-        this.loads = loads;
         this.gossip = gossip;
-        this.guard = guard;
         this.onPeerLoadChange = onPeerLoadChange;
-        this.log = log;
     }
 
     /**
      * Returns a transport that is not started yet.
      *
+     * @param context has what is told to peers, and receives what they tell
      * @param self this run of this instance
      * @param storeVersions supplies the versions of stored data that this instance has
-     * @param guard has the evidence of crashes that is told to peers, and receives theirs
      * @param onPeerLoadChange called after reports of peers have been applied
      */
     public static LoadGossipTransport create(
-            EventLoop loop,
-            Clock clock,
+            GatewayContext context,
             LoadReport.Origin self,
             PeerTable table,
-            LoadTracker loads,
             Supplier<LoadReport.StoreVersions> storeVersions,
-            PromptGuard guard,
-            Runnable onPeerLoadChange,
-            EventSink log) {
-        LoadGossip gossip = LoadGossip.create(self, table, loads::ownLoads, storeVersions, guard::evidence);
-        return new LoadGossipTransport(loop, clock, table, loads, gossip, guard, onPeerLoadChange, log);
+            Runnable onPeerLoadChange) {
+        LoadGossip gossip = LoadGossip.create(self, table, new ContextState(context, storeVersions));
+        return new LoadGossipTransport(context, table, gossip, onPeerLoadChange);
     }
 
     /** Binds to {@code address} and starts to send and receive reports. */
     public ChannelFuture start(HostPort address) {
         ChannelFuture bound = new Bootstrap()
-                .group(loop)
+                .group(context.loop())
                 .channel(NioDatagramChannel.class)
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
-                    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+                    protected void channelRead0(ChannelHandlerContext channelContext, DatagramPacket packet) {
                         receive(packet);
                     }
 
                     @Override
-                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                        log.log(LogEvent.PEER_CONNECTION_FAILED, Field.of("detail", cause));
+                    public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+                        context.log().log(LogEvent.PEER_CONNECTION_FAILED, Field.of("detail", cause));
                     }
                 })
                 .bind(address.socketAddress());
@@ -110,15 +122,15 @@
     /** Schedules a report after the load of this instance changed. */
     public void loadChanged(Urgency urgency) {
         if (channel != null) {
-            gossip.ownLoadChanged(urgency, clock.elapsed());
+            gossip.ownLoadChanged(urgency, context.now());
             schedule();
         }
     }
 
-    /** Schedules evidence of a crash that this instance has observed. */
-    public void crashObserved() {
+    /** Schedules evidence of a crash, or a limit of a server, that this instance has observed. */
+    public void evidenceObserved() {
         if (channel != null) {
-            gossip.evidenceChanged(clock.elapsed());
+            gossip.evidenceChanged(context.now());
             schedule();
         }
     }
@@ -132,20 +144,21 @@
 
     /** Removes timed out peers and sends due reports; to be called several times a second. */
     public void tick() {
-        Duration now = clock.elapsed();
+        Duration now = context.now();
         if (now.minus(lastExpiry).compareTo(EXPIRY_INTERVAL) < 0) {
             return;
         }
         lastExpiry = now;
         for (InstanceId gone : gossip.expire(now)) {
-            log.log(LogEvent.PEER_GONE, Field.of("peer", gone), Field.of("peers", table.size()));
+            context.limiter().peerLost(gone, now);
+            context.log().log(LogEvent.PEER_GONE, Field.of("peer", gone), Field.of("peers", table.size()));
         }
-        loads.expire(now);
+        context.loads().expire(now);
         sendDue();
     }
 
     private void sendDue() {
-        send(gossip.dueDatagrams(clock.elapsed()));
+        send(gossip.dueDatagrams(context.now()));
         schedule();
     }
 
@@ -157,9 +170,9 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        long wait = Math.max(0, next.minus(clock.elapsed()).toNanos());
+        long wait = Math.max(0, next.minus(context.now()).toNanos());
         scheduledFor = next;
-        timer = loop.schedule(this::sendDue, wait, TimeUnit.NANOSECONDS);
+        timer = context.loop().schedule(this::sendDue, wait, TimeUnit.NANOSECONDS);
     }
 
     private void send(List<LoadGossip.Datagram> datagrams) {
@@ -175,21 +188,31 @@
     private void receive(DatagramPacket packet) {
         HostPort from = new HostPort(
                 packet.sender().getAddress().getHostAddress(), packet.sender().getPort());
-        Duration now = clock.elapsed();
+        Duration now = context.now();
         LoadGossip.Reception reception = gossip.receive(ByteBufUtil.getBytes(packet.content()), from, now);
         reception
                 .error()
-                .ifPresent(error -> log.log(
+                .ifPresent(error -> context.log().log(
                         LogEvent.PEER_CONNECTION_FAILED,
                         Field.of("address", from),
                         Field.of("detail", "undecodable load report: " + error)));
-        if (!reception.evidence().isEmpty() && guard.merge(reception.evidence()) && gossip.passesEvidenceOn()) {
+        if (!reception.evidence().isEmpty()
+                && context.promptGuard().merge(reception.evidence())
+                && gossip.passesEvidenceOn()) {
+            gossip.evidenceChanged(now);
+        }
+        if (context.calls().mergeLimits(reception.limits()) && gossip.passesEvidenceOn()) {
             gossip.evidenceChanged(now);
         }
         for (LoadGossip.ReceivedReport received : reception.reports()) {
             LoadReport report = received.report();
             logMembershipChange(report, received.outcome(), from);
-            loads.replacePeerLoads(report.origin().instance(), report.loads(), now);
+            context.loads().replacePeerLoads(report.origin().instance(), report.loads(), now);
+            if (received.outcome() == PeerTable.Outcome.LEFT) {
+                context.limiter().peerLeft(report.origin().instance());
+            } else {
+                context.limiter().peerHeard(report.origin().instance(), report.demands());
+            }
         }
         schedule();
         if (!reception.reports().isEmpty()) {
@@ -200,14 +223,14 @@
     private void logMembershipChange(LoadReport report, PeerTable.Outcome outcome, HostPort from) {
         switch (outcome) {
             case JOINED ->
-                log.log(
+                context.log().log(
                         LogEvent.PEER_JOINED,
                         Field.of("peer", report.origin().instance()),
                         Field.of("address", report.origin().address()),
                         Field.of("told_by", from),
                         Field.of("peers", table.size()));
             case LEFT ->
-                log.log(
+                context.log().log(
                         LogEvent.PEER_GONE,
                         Field.of("peer", report.origin().instance()),
                         Field.of("cause", "leaving"),
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadReport.java
@@ -6,6 +6,7 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.ServerLoad;
 
@@ -15,6 +16,7 @@
  * @param origin the run of the instance that sends the report
  * @param sequence the sequence number, increasing within a run
  * @param loads the load that the sender puts on each server
+ * @param demands the demand of the sender for each service that it is not idle for
  * @param peers addresses of some of the live peers of the sender
  * @param storeVersions the versions of stored data that the sender has
  * @param relaying whether the sender forwards the reports of other instances
@@ -24,6 +26,7 @@
         Origin origin,
         long sequence,
         Map<ServerId, ServerLoad> loads,
+        Map<ServiceId, Integer> demands,
         List<HostPort> peers,
         StoreVersions storeVersions,
         boolean relaying,
@@ -31,6 +34,7 @@
 
     public LoadReport {
         loads = Map.copyOf(loads);
+        demands = Map.copyOf(demands);
         peers = List.copyOf(peers);
     }
 
--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LocalState.java
@@ -0,0 +1,29 @@
+package org.mangoridge.gateway.gossip;
+
+import java.util.List;
+import java.util.Map;
+
+import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.limit.LimitStatus;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
+
+/** Supplies what an instance tells its peers. */
+interface LocalState {
+
+    /** Returns the load that this instance puts on each server. */
+    Map<ServerId, ServerLoad> loads();
+
+    /** Returns the demand of this instance for each service that it is not idle for. */
+    Map<ServiceId, Integer> demands();
+
+    /** Returns the versions of stored data that this instance has. */
+    LoadReport.StoreVersions storeVersions();
+
+    /** Returns what this instance knows of crashes of servers. */
+    CrashEvidence evidence();
+
+    /** Returns what this instance knows of the limits of servers, the last changed first. */
+    List<LimitStatus> limits();
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -25,6 +25,7 @@
 import org.mangoridge.dispatch.follow.Follower;
 import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.dispatch.follow.StoreLag;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
 import org.mangoridge.gateway.exchange.PromptGuard;
@@ -117,16 +118,9 @@
         this.router = RequestRouter.create(context);
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
         this.loadGossip = LoadGossipTransport.create(
-                loop,
-                clock,
-                origin(settings, clock),
-                peers,
-                loads,
-                this::storeVersions,
-                context.promptGuard(),
-                this::catchUpWithPeers,
-                log);
-        context.promptGuard().onObservedCrash(loadGossip::crashObserved);
+                context, origin(settings, clock), peers, this::storeVersions, this::catchUpWithPeers);
+        context.promptGuard().onObservedCrash(loadGossip::evidenceObserved);
+        context.calls().onLimitChange(loadGossip::evidenceObserved);
         loads.onOwnChange(loadGossip::loadChanged);
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
@@ -185,7 +179,8 @@
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
         GatewayMetrics metrics = GatewayMetrics.create();
-        ServerCalls calls = ServerCalls.create(pool, dialect, metrics, log);
+        ServerRateLimiter limiter = ServerRateLimiter.create(settings.instance());
+        ServerCalls calls = ServerCalls.create(pool, clock, dialect, limiter, metrics, log);
         RetryBudget budget =
                 RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
         return new GatewayContext(
@@ -194,13 +189,14 @@
                 random,
                 dialect,
                 calls,
+                limiter,
                 directory,
                 loads,
                 tracks,
                 pace,
                 budget,
-                PlainBalancer.create(loads, tracks, settings.zone(), random),
-                EngineBalancer.create(loads, tracks, pace, settings.zone()),
+                PlainBalancer.create(loads, tracks, limiter, settings.zone(), random),
+                EngineBalancer.create(loads, tracks, limiter, pace, settings.zone()),
                 PromptGuard.create(loop, clock, calls, directory, metrics, log),
                 metrics,
                 log);
@@ -312,6 +308,7 @@
             serverFollower.restart();
         }
         serverEvents.expire(now);
+        context.limiter().tick(now);
         loadGossip.tick();
         catchUpWithPeers();
         List.of(front, status, metrics).forEach(FrontServer::closeTimedOut);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -129,6 +129,6 @@
             runs.add(ServerRun.of(entry));
         }
         context.serverHealth().retain(known);
-        context.calls().retain(runs);
+        context.limiter().retain(runs, context.clock().elapsed());
     }
 }
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -16,6 +16,13 @@
   5: optional i64 growthTokens = 0
 }
 
+/** The demand of the sender for one service. */
+struct ServiceDemand {
+  1: required string serviceName
+  /** In proportion to the rate of its requests; 1 for an idle service. */
+  2: required i32 weight
+}
+
 /** The load that one instance puts on all servers; a greater sequence number replaces a smaller one. */
 struct LoadMessage {
   1: required string sender
@@ -41,6 +48,8 @@
   12: required i64 serversRevision
   /** The era of the store that the revision belongs to; rises when the store is restored from a copy. */
   13: optional i64 storeEra = 0
+  /** The services that the sender is not idle for. */
+  14: optional list<ServiceDemand> demands = []
 }
 
 /** The shared parts of a prompt, in order. */
@@ -65,6 +74,19 @@
   2: required double answers
 }
 
+/** What the sender knows of the rate that one run of a server takes from all instances together. */
+struct ServerLimit {
+  1: required string server
+  /** When the run started, as Unix milliseconds. */
+  2: required i64 startedMillis
+  /** Increases with each change of the limit; a greater one is newer. */
+  3: required i64 version
+  /** Requests per second; absent if the limit has ended. */
+  4: optional double requestsPerSecond
+  /** How long ago an answer of the run announced a limit. */
+  5: required i64 silenceMillis
+}
+
 /** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
 struct LoadBatch {
   1: required list<binary> reports
@@ -74,4 +96,6 @@
   3: optional list<ServerCrash> crashes = []
   /** Sound answers for parts that these crashes implicate. */
   4: optional list<SoundPart> soundParts = []
+  /** Limits of servers that the sender knows, by their answers or from others; some of them at a time. */
+  5: optional list<ServerLimit> limits = []
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -15,10 +16,16 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
+import org.mangoridge.dispatch.limit.LimitStatus;
+import org.mangoridge.dispatch.limit.RateLimit;
+import org.mangoridge.dispatch.limit.ServerRateLimiter;
+import org.mangoridge.dispatch.quarantine.CrashEvidence;
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.quarantine.PromptQuarantine;
 
@@ -49,12 +56,13 @@
     private record Event(Duration at, long number, Runnable action) {}
 
     /** One instance of the fleet. */
-    final class Member {
+    final class Member implements LocalState {
         final LoadReport.Origin origin;
         final PeerTable table;
         final LoadTracker loads = LoadTracker.create();
         final LoadGossip gossip;
         PromptQuarantine quarantine = PromptQuarantine.create();
+        ServerRateLimiter limiter;
         long datagrams;
         long bytesSent;
         long bytesReceived;
@@ -69,21 +77,43 @@
                     AvailabilityZone.of("zone-" + index % zones),
                     360 + index * 37 % 1000);
             table = PeerTable.create(address, seeds, random.split());
-            gossip = LoadGossip.create(
-                    origin,
-                    table,
-                    loads::ownLoads,
-                    () -> new LoadReport.StoreVersions(0, 1, 1),
-                    () -> quarantine.evidence(now));
+            limiter = ServerRateLimiter.create(origin.instance());
+            gossip = LoadGossip.create(origin, table, this);
             loads.onOwnChange(urgency -> {
                 gossip.ownLoadChanged(urgency, now);
                 scheduleTimer();
             });
         }
 
+        @Override
+        public Map<ServerId, ServerLoad> loads() {
+            return loads.ownLoads();
+        }
+
+        @Override
+        public Map<ServiceId, Integer> demands() {
+            return limiter.demand(now);
+        }
+
+        @Override
+        public LoadReport.StoreVersions storeVersions() {
+            return new LoadReport.StoreVersions(0, 1, 1);
+        }
+
+        @Override
+        public CrashEvidence evidence() {
+            return quarantine.evidence(now);
+        }
+
+        @Override
+        public List<LimitStatus> limits() {
+            return limiter.statuses(now);
+        }
+
         private void expirePeers() {
             if (!stopped.contains(this)) {
-                gossip.expire(now);
+                gossip.expire(now).forEach(peer -> limiter.peerLost(peer, now));
+                limiter.tick(now);
                 loads.expire(now);
                 sendDue();
                 after(EXPIRY_INTERVAL, this::expirePeers);
@@ -113,12 +143,33 @@
                 if (quarantine.merge(reception.evidence(), now) && gossip.passesEvidenceOn()) {
                     gossip.evidenceChanged(now);
                 }
-                reception
-                        .reports()
-                        .forEach(received -> loads.replacePeerLoads(
-                                received.report().origin().instance(),
-                                received.report().loads(),
-                                now));
+                if (!limiter.merge(reception.limits(), now).isEmpty() && gossip.passesEvidenceOn()) {
+                    gossip.evidenceChanged(now);
+                }
+                reception.reports().forEach(received -> apply(received.report()));
+                scheduleTimer();
+            }
+        }
+
+        private void apply(LoadReport report) {
+            InstanceId peer = report.origin().instance();
+            loads.replacePeerLoads(peer, report.loads(), now);
+            if (report.leaving()) {
+                limiter.peerLeft(peer);
+            } else {
+                limiter.peerHeard(peer, report.demands());
+            }
+        }
+
+        /** Loses all that the instance knows of limits and demand, as a restart does. */
+        void forgetLimits() {
+            limiter = ServerRateLimiter.create(origin.instance());
+        }
+
+        /** Has an answer of a server. */
+        void observeAnswer(ServerEntry server, Optional<RateLimit> announced, Duration sentAt) {
+            if (limiter.recordAnswer(server, announced, sentAt, now)) {
+                gossip.evidenceChanged(now);
                 scheduleTimer();
             }
         }
@@ -157,7 +208,12 @@
         return new GossipFleet(size, zones, seed);
     }
 
-    private void after(Duration delay, Runnable action) {
+    Duration now() {
+        return now;
+    }
+
+    /** Runs an action at a later virtual time. */
+    void after(Duration delay, Runnable action) {
         events.add(new Event(now.plus(delay), nextEventNumber++, action));
     }
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -14,6 +14,7 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.ServerLoad;
 
@@ -31,6 +32,7 @@
                         750),
                 4,
                 Map.of(ServerId.of("s-1"), load),
+                Map.of(ServiceId.of("desk"), 129),
                 List.of(new HostPort("10.0.0.1", 7000)),
                 new LoadReport.StoreVersions(2, 12, 530),
                 true,
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -12,7 +11,6 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.dispatch.quarantine.CrashEvidence;
 import org.mangoridge.dispatch.quarantine.Prompt;
 import org.mangoridge.dispatch.quarantine.PromptQuarantine;
 import org.mangoridge.dispatch.request.PromptPart;
@@ -221,15 +219,9 @@
         HostPort address = new HostPort("10.0.0.2", 7000);
         LoadReport.Origin origin =
                 new LoadReport.Origin(InstanceId.of("entry-2"), 1, address, AvailabilityZone.of("a"), 750);
-        LoadReport report =
-                new LoadReport(origin, 1, Map.of(), List.of(), new LoadReport.StoreVersions(0, 1, 1), false, false);
-        LoadGossip gossip = LoadGossip.create(
-                new LoadReport.Origin(
-                        InstanceId.of("entry-1"), 1, new HostPort("10.0.0.1", 7000), AvailabilityZone.of("a"), 750),
-                PeerTable.create(new HostPort("10.0.0.1", 7000), List.of(), new SplittableRandom(1)),
-                Map::of,
-                () -> new LoadReport.StoreVersions(0, 1, 1),
-                () -> CrashEvidence.NONE);
+        LoadReport report = new LoadReport(
+                origin, 1, Map.of(), Map.of(), List.of(), new LoadReport.StoreVersions(0, 1, 1), false, false);
+        LoadGossip gossip = GossipFleet.create(1, 1, 1).members().get(0).gossip;
         byte[] datagram = LoadCodec.encodeBatch(List.of(LoadCodec.encode(report), new byte[] {1, 2, 3}), false);
         LoadGossip.Reception reception = gossip.receive(datagram, address, Duration.ZERO);
         assertThat(reception.reports()).hasSize(1);
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/PeerTableTest.java
@@ -24,7 +24,14 @@
         LoadReport.Origin origin =
                 new LoadReport.Origin(InstanceId.of(sender), started, SEED, AvailabilityZone.of("zone-a"), 750);
         return new LoadReport(
-                origin, sequence, Map.of(), List.of(OTHER, SELF), new LoadReport.StoreVersions(1, 3, 4), true, leaving);
+                origin,
+                sequence,
+                Map.of(),
+                Map.of(),
+                List.of(OTHER, SELF),
+                new LoadReport.StoreVersions(1, 3, 4),
+                true,
+                leaving);
     }
 
     private PeerTable.Outcome update(LoadReport report, long second) {
