Use a server that lost one answer while the others are at their limits

Cause: with two of three servers limited, a single lost answer of the third ejected it for half a second, in which all requests beyond the limits were refused.

Change: where servers in good health are at their limits, one that has lost a single answer is used too; one that lost more, or whose zone is cut off, is not. PlainBalancerTest covers both; the first case failed before with "none".

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
@@ -15,7 +15,7 @@
  * Chooses the server of a plain service for a request: the one with the lowest expected cost, mainly latency.
  *
  * <p>If all servers are ejected, all count as usable, so that a fault of a whole service does not make it
- * unreachable.
+ * unreachable. If those that are not are at their limits, one that lost a single answer is used as well.
  */
 public final class PlainBalancer {
 
@@ -67,6 +67,20 @@
         List<ServerEntry> usable =
                 servers.stream().filter(server -> health.isUsable(server, now)).toList();
         List<ServerEntry> candidates = usable.isEmpty() ? servers : usable;
+        Optional<ServerEntry> cheapest = cheapest(candidates, tried, now);
+        boolean heldBack = candidates.stream().anyMatch(server -> !limiter.permits(server, now));
+        if (cheapest.isEmpty() && heldBack) {
+            return cheapest(
+                    servers.stream()
+                            .filter(server -> health.isUsableInNeed(server, now))
+                            .toList(),
+                    tried,
+                    now);
+        }
+        return cheapest;
+    }
+
+    private Optional<ServerEntry> cheapest(List<ServerEntry> candidates, Set<ServerId> tried, Duration now) {
         ServerEntry best = null;
         double bestCost = Double.MAX_VALUE;
         for (ServerEntry server : candidates) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
@@ -59,6 +59,11 @@
         return now.compareTo(ejectedUntil) >= 0 && !(ejections > 0 && trialInFlight);
     }
 
+    /** Tells whether the server may be sent a request where the alternative is a refusal: one answer was lost so far. */
+    boolean isUsableInNeed(Duration now) {
+        return isUsable(now) || ejections == 1;
+    }
+
     /** Records that a request is sent to the server. */
     void recordSent() {
         if (ejections > 0) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
@@ -58,6 +58,12 @@
         return !zones.isCutOff(server.zone(), now) && (health == null || health.isUsable(now));
     }
 
+    /** Tells whether a server may be sent a request that would be refused otherwise. */
+    public boolean isUsableInNeed(ServerEntry server, Duration now) {
+        ServerHealth health = servers.get(server.id());
+        return !zones.isCutOff(server.zone(), now) && (health == null || health.isUsableInNeed(now));
+    }
+
     /** Returns the decaying average of the share of failed answers, 0 to 1. */
     public double errorShare(ServerId server, Duration now) {
         ServerHealth health = servers.get(server);
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/PlainBalancerTest.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.id.ServerId;
@@ -13,6 +16,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
+import org.mangoridge.dispatch.limit.RateLimit;
 import org.mangoridge.dispatch.limit.ServerRateLimiter;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -90,4 +94,17 @@
         assertThat(choice(Set.of(ServerId.of("s-a"), ServerId.of("s-b"), ServerId.of("s-c"))))
                 .isEqualTo("none");
     }
+
+    /** A server that lost one answer takes requests while the others are at their limits; one that is down does not. */
+    @ParameterizedTest
+    @CsvSource({"1, s-a", "2, none"})
+    void serversAtTheirLimitAreFollowedByThoseThatLostASingleAnswer(int lost, String expected) {
+        List.of(servers.get(1), servers.get(2))
+                .forEach(server -> limiter.recordAnswer(server, Optional.of(new RateLimit(1)), NOW, NOW));
+        assertThat(choice(Set.of())).isEqualTo("s-a");
+        for (int i = 0; i < lost; i++) {
+            health.recordNoAnswer(ServerId.of("s-a"), NOW.minusMillis(900 - 700 * i));
+        }
+        assertThat(choice(Set.of())).isEqualTo(expected);
+    }
 }
