Take no share of a limit right after a start or a suspension, and no longer than needed

Cause: shares that were computed while an instance had not heard the others counted as zero for another four seconds, and a process that stood still went on with the share it had before, though others may have taken its part over.

Change: nothing is computed before the instance has settled, and after a gap of two seconds it settles anew. ServerRateLimiterTest (4 of its cases failed before) and AnnouncedLimitsTest; AnnouncedLimitFleetTest still passes.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/FleetDemand.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/FleetDemand.java
@@ -22,6 +22,8 @@
     static final Duration SETTLING_TIME = Duration.ofSeconds(4);
     /** Time between two views that are remembered. */
     private static final Duration VIEW_INTERVAL = Duration.ofMillis(250);
+    /** Time between two views from which the process has stood still, and others may have taken over its part. */
+    private static final Duration MAX_VIEW_GAP = Duration.ofSeconds(2);
     /** How long the part of an instance is left to it after the last report: the network may be cut between both. */
     static final Duration LOST_RETENTION = Duration.ofSeconds(60);
 
@@ -140,8 +142,10 @@
 
     /** Remembers the demand; to be called several times a second. */
     void tick(Duration now) {
-        if (startedAt == null) {
+        boolean suspended = !views.isEmpty() && now.minus(views.getLast().at()).compareTo(MAX_VIEW_GAP) > 0;
+        if (startedAt == null || suspended) {
             startedAt = now;
+            views.clear();
         }
         if (!views.isEmpty() && now.minus(views.getLast().at()).compareTo(VIEW_INTERVAL) < 0) {
             return;
@@ -156,7 +160,7 @@
     }
 
     /** Returns whether this instance has heard others for long enough to know its part. */
-    private boolean hasSettled(Duration now) {
+    boolean hasSettled(Duration now) {
         return startedAt != null && now.minus(startedAt).compareTo(SETTLING_TIME) >= 0;
     }
 
@@ -169,9 +173,6 @@
      * @param rate the limit, in requests per second
      */
     double settledShare(ServiceId service, ServerRun run, double rate, int seats, Duration now) {
-        if (!hasSettled(now)) {
-            return 0;
-        }
         return views.stream()
                 .mapToDouble(view -> share(view, service, run, rate, seats))
                 .min()
@@ -180,7 +181,7 @@
 
     /** Returns the share by the last remembered demand; see {@link #settledShare}. */
     double newestShare(ServiceId service, ServerRun run, double rate, int seats, Duration now) {
-        return hasSettled(now) ? share(views.getLast(), service, run, rate, seats) : 0;
+        return share(views.getLast(), service, run, rate, seats);
     }
 
     private double share(View view, ServiceId service, ServerRun run, double rate, int seats) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
@@ -71,6 +71,12 @@
             this.updatedAt = now;
         }
 
+        private void empty() {
+            samples.clear();
+            rate = 0;
+            tokens = 0;
+        }
+
         private boolean refreshDue(Duration now) {
             return samples.isEmpty() || now.minus(samples.getLast().at()).compareTo(SHARE_REFRESH_INTERVAL) >= 0;
         }
@@ -218,7 +224,9 @@
         ServerRun run = ServerRun.of(server);
         Bucket bucket = buckets.computeIfAbsent(run, each -> new Bucket(now));
         bucket.refill(now);
-        if (bucket.refreshDue(now)) {
+        if (!demand.hasSettled(now)) {
+            bucket.empty();
+        } else if (bucket.refreshDue(now)) {
             double rate = Math.max(MIN_RATE, limit.requestsPerSecond());
             int seats = (int) Math.min(MAX_SEATS, MIN_SEATS + rate * SEAT_TIME.toNanos() / 1e9);
             if (bucket.isCurrent(now)) {
