--- /dev/null
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestFingerprintTest.java
@@ -0,0 +1,48 @@
+package org.mangoridge.dispatch.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.mangoridge.dispatch.request.PromptPart;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RequestFingerprintTest {
+
+    private static PromptPart fingerprint(String method, String target, String caller, String body) {
+        ByteBuffer bytes = ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8));
+        return RequestFingerprint.of(method, target, caller, bytes);
+    }
+
+    @Test
+    void sameRequestsHaveTheSameFingerprint() {
+        assertThat(fingerprint("POST", "/a?q=1", "h", "body")).isEqualTo(fingerprint("POST", "/a?q=1", "h", "body"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "GET, /a?q=1, h, body",
+        "POST, /a?q=2, h, body",
+        "POST, /a?q=1, g, body",
+        "POST, /a?q=1, h, bodx",
+        "POST, /a?q=1h, '', body",
+        "POST, /a?q=1, '', hbody",
+        "POST, /a?q=1, h, ''"
+    })
+    void otherRequestsHaveAnother(String method, String target, String caller, String body) {
+        assertThat(fingerprint(method, target, caller, body)).isNotEqualTo(fingerprint("POST", "/a?q=1", "h", "body"));
+    }
+
+    /** Bodies of one length differ only in the hash, which need not be computed for a request of another outline. */
+    @Test
+    void theOutlineIsThatOfTheRequest() {
+        PromptPart one = fingerprint("POST", "/a", "h", "body");
+        PromptPart other = fingerprint("POST", "/a", "h", "bodx");
+        assertThat(RequestFingerprint.outlineOf(one)).isEqualTo(RequestFingerprint.outline("POST", "/a", "h", 4));
+        assertThat(RequestFingerprint.outlineOf(other)).isEqualTo(RequestFingerprint.outlineOf(one));
+        assertThat(RequestFingerprint.outlineOf(PromptPart.of("f1"))).isEmpty();
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -30,6 +30,7 @@
     private final Route route;
     private final ServiceId service;
     private final CallerRequest caller;
+    private final RequestIdentity identity;
     private final long configVersion;
     private final Duration deadline;
     private Verdict verdict = Verdict.NOT_RUN;
@@ -48,6 +49,7 @@
         this.route = route;
         this.service = service;
         this.caller = caller;
+        this.identity = RequestIdentity.of(exchange.request(), caller.sharedParts());
         this.configVersion = configVersion;
         Duration callerTimeout = caller.timeout().orElse(route.timeout());
         Duration timeout = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
@@ -70,6 +72,10 @@
         return caller;
     }
 
+    RequestIdentity identity() {
+        return identity;
+    }
+
     Duration arrived() {
         return exchange.request().arrived();
     }
@@ -165,6 +171,9 @@
         fields.add(Field.of("server", server));
         fields.add(Field.of("verdict", verdict.text()));
         fields.add(Field.of("detail", detail));
+        if (verdict != Verdict.NOT_RUN) {
+            fields.add(Field.of("fingerprint", identity.fingerprint()));
+        }
         log(LogEvent.ATTEMPT_FAILED, fields.toArray(Field[]::new));
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/InboundRequest.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/InboundRequest.java
@@ -21,13 +21,19 @@
 
     /** Returns the path of the request target without the query. */
     public String path() {
+        String target = target();
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Returns the request target in origin form: the path and the query. */
+    public String target() {
         String path = uri;
         int scheme = path.indexOf(SCHEME_SEPARATOR);
         if (scheme > 0 && !path.startsWith("/")) {
             int slash = path.indexOf('/', scheme + SCHEME_SEPARATOR.length());
             path = slash < 0 ? "/" : path.substring(slash);
         }
-        int query = path.indexOf('?');
-        return query < 0 ? path : path.substring(0, query);
+        return path;
     }
 }
