--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -61,9 +61,9 @@
     SERVER_ENTRY_UNREADABLE(308, Level.WARNING, "server entry unreadable"),
     /** The entry of a backend server is missing after an outage of the platform; the server is kept for a time. */
     SERVER_ENTRY_MISSING(309, Level.INFO, "server entry missing"),
-    /** A backend server crashed while it was about to answer prompts, or had just begun to. */
+    /** A backend server crashed while it was about to answer requests, or had just begun to. */
     SERVER_CRASHED(310, Level.WARNING, "server crashed"),
-    /** The parts of prompts that are kept from servers because they crash them have changed. */
+    /** The requests and parts of prompts that are kept from servers because they crash them have changed. */
     QUARANTINE_CHANGED(311, Level.WARNING, "quarantine changed"),
     /** The rate of requests that a backend server takes from all instances together has changed. */
     SERVER_LIMIT_CHANGED(312, Level.INFO, "server limit changed"),
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
@@ -184,6 +184,11 @@
         return limits.statuses(now);
     }
 
+    /** Tells whether any server has or had a limit; if not, there is nothing to ask. */
+    public boolean knowsLimits() {
+        return !limits.isEmpty();
+    }
+
     /** Returns the limit of a run of a server; empty if it has none. */
     public Optional<RateLimit> limit(ServerRun run) {
         return limits.limit(run);
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/CrashEvidence.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/CrashEvidence.java
@@ -5,15 +5,15 @@
 import java.util.Map;
 
 import org.mangoridge.dispatch.directory.ServerRun;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 /**
  * What instances know of crashes of servers and of sound answers, as they tell it to each other.
  *
  * @param crashes the crashes, the newest first
- * @param soundAnswers the decayed number of sound answers to prompts with a part, for parts that a crash implicates
+ * @param soundAnswers the decayed number of sound answers to requests with a part, for parts that a crash implicates
  */
-public record CrashEvidence(List<Crash> crashes, Map<PromptPart, Double> soundAnswers) {
+public record CrashEvidence(List<Crash> crashes, Map<RequestPart, Double> soundAnswers) {
 
     /** Evidence of nothing. */
     public static final CrashEvidence NONE = new CrashEvidence(List.of(), Map.of());
@@ -28,12 +28,12 @@
      *
      * @param run the run that ended
      * @param age how long ago it ended
-     * @param prompts the prompts that the server was about to answer or had just begun to answer
+     * @param requests the requests that the server was about to answer or had just begun to answer
      */
-    public record Crash(ServerRun run, Duration age, List<Prompt> prompts) {
+    public record Crash(ServerRun run, Duration age, List<RequestParts> requests) {
 
         public Crash {
-            prompts = List.copyOf(prompts);
+            requests = List.copyOf(requests);
         }
     }
 
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestFingerprint.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestFingerprint.java
@@ -7,7 +7,7 @@
 import java.util.Arrays;
 import java.util.Base64;
 
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 /**
  * Identifies requests that are the same by method, target, caller and body, whatever their ids and other headers.
@@ -31,7 +31,7 @@
     }
 
     /** Returns the fingerprint of a request. */
-    public static PromptPart of(String method, String target, String caller, ByteBuffer body) {
+    public static RequestPart of(String method, String target, String caller, ByteBuffer body) {
         MessageDigest digest = newDigest();
         for (String text : new String[] {method, target, caller}) {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
@@ -43,11 +43,11 @@
         digest.update(body.duplicate());
         String hash =
                 Base64.getUrlEncoder().withoutPadding().encodeToString(Arrays.copyOf(digest.digest(), HASH_BYTES));
-        return PromptPart.of(outline(method, target, caller, length) + SEPARATOR + hash);
+        return RequestPart.of(outline(method, target, caller, length) + SEPARATOR + hash);
     }
 
     /** Returns the outline in a fingerprint; empty for the id of a part of a prompt. */
-    static String outlineOf(PromptPart part) {
+    static String outlineOf(RequestPart part) {
         int end = part.value().indexOf(SEPARATOR);
         return end < 0 ? "" : part.value().substring(0, end);
     }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/PromptQuarantine.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestQuarantine.java
@@ -15,22 +15,22 @@
 import java.util.stream.Collectors;
 
 import org.mangoridge.dispatch.directory.ServerRun;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 /**
  * Finds the requests and the parts of prompts that crash servers and keeps them from servers; does no I/O, confined to
  * one thread.
  *
  * <p>The fingerprint of a request counts as the deepest part of its prompt, and as the only one if it has no prompt. A
- * crash implicates all prompts that the server was about to answer, and a server may crash for other reasons. A part is
+ * crash implicates all requests that the server was about to answer, and a server may crash for other reasons. A part is
  * quarantined if it explains {@link #MIN_CRASHES} crashes that no other quarantined part explains, and outweighs the
- * sound answers to prompts with it. Where parts always occur together the deepest is taken, so that prompts that share
+ * sound answers to requests with it. Where parts always occur together the deepest is taken, so that requests that share
  * only the others go on; if one of those crashes servers too, it gains evidence that the deepest lacks.
  *
  * <p>Instances exchange their evidence. Merging is commutative and idempotent, so that it may arrive in any order, more
  * than once, or through others, also after a restart of the one that observed it.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
 
     /** Crashes that a part must explain; fewer can be a coincidence. */
     static final int MIN_CRASHES = 3;
@@ -50,21 +50,21 @@
     private static final int MAX_SOUND_PARTS = 4096;
 
     private final Map<ServerRun, Crash> crashes = new HashMap<>();
-    private final Map<PromptPart, SoundAnswers> soundAnswers = new LinkedHashMap<>(16, 0.75f, true) {
+    private final Map<RequestPart, SoundAnswers> soundAnswers = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<PromptPart, SoundAnswers> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<RequestPart, SoundAnswers> eldest) {
             return size() > MAX_SOUND_PARTS;
         }
     };
 
-    private Set<PromptPart> quarantined = Set.of();
+    private Set<RequestPart> quarantined = Set.of();
     /** The outlines of the requests that a crash implicates. */
     private Set<String> suspectOutlines = Set.of();
 
-    private record Crash(ServerRun run, Duration at, Set<Prompt> prompts) {
+    private record Crash(ServerRun run, Duration at, Set<RequestParts> requests) {
 
-        boolean implicates(PromptPart part) {
-            return prompts.stream().anyMatch(prompt -> prompt.contains(part));
+        boolean implicates(RequestPart part) {
+            return requests.stream().anyMatch(request -> request.contains(part));
         }
     }
 
@@ -72,9 +72,9 @@
      * A part and the case against it.
      *
      * @param support the number of crashes that the part explains better than the parts after it do
-     * @param depth the largest number of parts before it in a prompt
+     * @param depth the largest number of parts before it in a request
      */
-    private record Suspect(PromptPart part, long support, int depth) {
+    private record Suspect(RequestPart part, long support, int depth) {
 
         /**
          * Weighs a part; crashes under the same deeper parts count once, since those are more likely the cause.
@@ -82,17 +82,17 @@
          * @param sound the parts that servers answer, and which are not the cause therefore
          * @param likely the parts with enough crashes to be the cause by themselves; those under a deeper one don't count
          */
-        static Suspect of(PromptPart part, List<Crash> crashes, Set<PromptPart> sound, Set<PromptPart> likely) {
+        static Suspect of(RequestPart part, List<Crash> crashes, Set<RequestPart> sound, Set<RequestPart> likely) {
             long crashesAsDeepest = 0;
-            Set<Set<PromptPart>> contexts = new HashSet<>();
+            Set<Set<RequestPart>> contexts = new HashSet<>();
             int depth = 0;
             for (Crash crash : crashes) {
-                Set<PromptPart> context = new HashSet<>();
+                Set<RequestPart> context = new HashSet<>();
                 boolean deepest = false;
-                for (Prompt prompt : crash.prompts()) {
-                    if (prompt.contains(part)) {
-                        depth = Math.max(depth, prompt.depthOf(part));
-                        Set<PromptPart> deeper = prompt.deeperThan(part);
+                for (RequestParts request : crash.requests()) {
+                    if (request.contains(part)) {
+                        depth = Math.max(depth, request.depthOf(part));
+                        Set<RequestPart> deeper = request.deeperThan(part);
                         deeper.removeAll(sound);
                         if (Collections.disjoint(deeper, likely)) {
                             deepest |= deeper.isEmpty();
@@ -118,27 +118,27 @@
         }
     }
 
-    private PromptQuarantine() {}
+    private RequestQuarantine() {}
 
     /** Returns a quarantine without evidence. */
-    public static PromptQuarantine create() {
-        return new PromptQuarantine();
+    public static RequestQuarantine create() {
+        return new RequestQuarantine();
     }
 
     /**
      * Records that a server crashed.
      *
-     * @param prompts the prompts that it was about to answer or had just begun to answer, as far as this instance knows
+     * @param requests the requests that it was about to answer or had just begun to answer, as far as this instance knows
      */
-    public void recordCrash(ServerRun run, Collection<Prompt> prompts, Duration now) {
-        add(run, prompts, now);
+    public void recordCrash(ServerRun run, Collection<RequestParts> requests, Duration now) {
+        add(run, requests, now);
         weigh(now);
     }
 
-    /** Records that a server answered a prompt, or answers it for some time already. */
-    public void recordSoundAnswer(Prompt prompt, Duration now) {
+    /** Records that a server answered a request, or answers it for some time already. */
+    public void recordSoundAnswer(RequestParts request, Duration now) {
         boolean implicated = false;
-        for (PromptPart part : prompt.parts()) {
+        for (RequestPart part : request.parts()) {
             soundAnswers.put(part, new SoundAnswers(soundAnswers(part, now) + 1, now));
             implicated |= quarantined.contains(part);
         }
@@ -147,11 +147,16 @@
         }
     }
 
-    /** Returns a part of a prompt for which it must not be sent to a server; empty if it may be sent. */
-    public Optional<PromptPart> find(Prompt prompt) {
+    /** Returns a part of a request for which it must not be sent to a server; empty if it may be sent. */
+    public Optional<RequestPart> find(RequestParts request) {
         return quarantined.isEmpty()
                 ? Optional.empty()
-                : prompt.parts().stream().filter(quarantined::contains).findFirst();
+                : request.parts().stream().filter(quarantined::contains).findFirst();
+    }
+
+    /** Tells whether a crash implicates any request. */
+    public boolean hasSuspects() {
+        return !suspectOutlines.isEmpty();
     }
 
     /** Tells whether a crash implicates requests of an outline, so that the fingerprint of such a request matters. */
@@ -160,12 +165,12 @@
     }
 
     /** Tells whether a crash implicates a part or fingerprint. */
-    public boolean implicates(PromptPart part) {
+    public boolean implicates(RequestPart part) {
         return crashes.values().stream().anyMatch(crash -> crash.implicates(part));
     }
 
     /** Returns the quarantined parts and fingerprints. */
-    public Set<PromptPart> quarantined() {
+    public Set<RequestPart> quarantined() {
         return quarantined;
     }
 
@@ -179,10 +184,11 @@
     /** Returns the evidence to tell other instances. */
     public CrashEvidence evidence(Duration now) {
         List<CrashEvidence.Crash> told = newestFirst().stream()
-                .map(crash -> new CrashEvidence.Crash(crash.run(), now.minus(crash.at()), List.copyOf(crash.prompts())))
+                .map(crash ->
+                        new CrashEvidence.Crash(crash.run(), now.minus(crash.at()), List.copyOf(crash.requests())))
                 .toList();
-        Map<PromptPart, Double> sound = new HashMap<>();
-        for (PromptPart part : implicatedParts(crashes.values())) {
+        Map<RequestPart, Double> sound = new HashMap<>();
+        for (RequestPart part : implicatedParts(crashes.values())) {
             double count = soundAnswers(part, now);
             if (count >= 1) {
                 sound.put(part, count);
@@ -192,7 +198,7 @@
     }
 
     /**
-     * Adds the evidence of another instance; returns whether it held a crash or a prompt that was not known.
+     * Adds the evidence of another instance; returns whether it held a crash or a request that was not known.
      *
      * <p>Of the sound answers the larger number counts, since both may have counted the same ones.
      */
@@ -200,11 +206,11 @@
         boolean newCrashes = false;
         for (CrashEvidence.Crash crash : other.crashes()) {
             if (!crash.age().isNegative() && crash.age().compareTo(RETENTION) < 0) {
-                newCrashes |= add(crash.run(), crash.prompts(), now.minus(crash.age()));
+                newCrashes |= add(crash.run(), crash.requests(), now.minus(crash.age()));
             }
         }
         boolean newAnswers = false;
-        for (Map.Entry<PromptPart, Double> told : other.soundAnswers().entrySet()) {
+        for (Map.Entry<RequestPart, Double> told : other.soundAnswers().entrySet()) {
             double known = soundAnswers(told.getKey(), now);
             if (told.getValue() > known) {
                 soundAnswers.put(told.getKey(), new SoundAnswers(told.getValue(), now));
@@ -217,13 +223,13 @@
         return newCrashes;
     }
 
-    /** Adds a crash or prompts that it implicates; returns whether any of that was not known. */
-    private boolean add(ServerRun run, Collection<Prompt> prompts, Duration at) {
+    /** Adds a crash or requests that it implicates; returns whether any of that was not known. */
+    private boolean add(ServerRun run, Collection<RequestParts> requests, Duration at) {
         Crash known = crashes.get(run);
-        Set<Prompt> all = new HashSet<>(known == null ? Set.of() : known.prompts());
-        prompts.stream().filter(prompt -> !prompt.parts().isEmpty()).forEach(all::add);
+        Set<RequestParts> all = new HashSet<>(known == null ? Set.of() : known.requests());
+        requests.stream().filter(request -> !request.parts().isEmpty()).forEach(all::add);
         all = limited(run, all);
-        if (all.isEmpty() || known != null && known.prompts().equals(all)) {
+        if (all.isEmpty() || known != null && known.requests().equals(all)) {
             return false;
         }
         // Ages are told late, so that the earliest time is the best one.
@@ -232,7 +238,7 @@
         if (crashes.size() <= MAX_CRASHES) {
             return true;
         }
-        Set<PromptPart> recurring = recurringParts();
+        Set<RequestPart> recurring = recurringParts();
         Crash dropped = crashes.values().stream()
                 .min(Comparator.comparing(this::isExplained)
                         .thenComparing(crash -> recurring.stream().anyMatch(crash::implicates))
@@ -242,30 +248,30 @@
         return !dropped.run().equals(run);
     }
 
-    /** Drops prompts that are too many: every instance the same ones, and other ones at each crash. */
-    private static Set<Prompt> limited(ServerRun run, Set<Prompt> prompts) {
+    /** Drops requests that are too many: every instance the same ones, and other ones at each crash. */
+    private static Set<RequestParts> limited(ServerRun run, Set<RequestParts> requests) {
         int left = MAX_PARTS_PER_CRASH;
-        Set<Prompt> kept = new HashSet<>();
-        List<Prompt> ordered = prompts.stream()
-                .sorted(Comparator.comparingInt(prompt -> (run.toString() + prompt).hashCode()))
+        Set<RequestParts> kept = new HashSet<>();
+        List<RequestParts> ordered = requests.stream()
+                .sorted(Comparator.comparingInt(request -> (run.toString() + request).hashCode()))
                 .toList();
-        for (Prompt prompt : ordered) {
-            left -= prompt.parts().size();
+        for (RequestParts request : ordered) {
+            left -= request.parts().size();
             if (left < 0 && !kept.isEmpty()) {
                 break;
             }
-            kept.add(prompt);
+            kept.add(request);
         }
         return kept;
     }
 
-    /** Returns the deepest parts of prompts that several crashes implicate; they are about to be quarantined. */
-    private Set<PromptPart> recurringParts() {
-        Set<PromptPart> seen = new HashSet<>();
-        Set<PromptPart> recurring = new HashSet<>();
+    /** Returns the deepest parts of requests that several crashes implicate; they are about to be quarantined. */
+    private Set<RequestPart> recurringParts() {
+        Set<RequestPart> seen = new HashSet<>();
+        Set<RequestPart> recurring = new HashSet<>();
         for (Crash crash : crashes.values()) {
-            crash.prompts().stream()
-                    .map(prompt -> prompt.parts().getLast())
+            crash.requests().stream()
+                    .map(request -> request.parts().getLast())
                     .distinct()
                     .filter(part -> !seen.add(part))
                     .forEach(recurring::add);
@@ -277,7 +283,7 @@
         return quarantined.stream().anyMatch(crash::implicates);
     }
 
-    private double soundAnswers(PromptPart part, Duration now) {
+    private double soundAnswers(RequestPart part, Duration now) {
         SoundAnswers known = soundAnswers.get(part);
         return known == null ? 0 : known.countAt(now);
     }
@@ -290,12 +296,12 @@
 
     /** Decides anew which parts are quarantined. */
     private void weigh(Duration now) {
-        Set<PromptPart> found = new HashSet<>();
+        Set<RequestPart> found = new HashSet<>();
         List<Crash> unexplained = new ArrayList<>(crashes.values());
-        for (Optional<PromptPart> next = mostSuspect(unexplained, now);
+        for (Optional<RequestPart> next = mostSuspect(unexplained, now);
                 next.isPresent();
                 next = mostSuspect(unexplained, now)) {
-            PromptPart part = next.get();
+            RequestPart part = next.get();
             found.add(part);
             unexplained.removeIf(crash -> crash.implicates(part));
         }
@@ -306,15 +312,15 @@
     }
 
     /** Returns the part that explains most of the crashes; of equal ones the deepest. */
-    private Optional<PromptPart> mostSuspect(List<Crash> unexplained, Duration now) {
-        Map<PromptPart, List<Crash>> byPart = new HashMap<>();
+    private Optional<RequestPart> mostSuspect(List<Crash> unexplained, Duration now) {
+        Map<RequestPart, List<Crash>> byPart = new HashMap<>();
         for (Crash crash : unexplained) {
-            for (PromptPart part : implicatedParts(List.of(crash))) {
+            for (RequestPart part : implicatedParts(List.of(crash))) {
                 byPart.computeIfAbsent(part, each -> new ArrayList<>()).add(crash);
             }
         }
-        Set<PromptPart> sound = new HashSet<>();
-        Set<PromptPart> likely = new HashSet<>();
+        Set<RequestPart> sound = new HashSet<>();
+        Set<RequestPart> likely = new HashSet<>();
         byPart.forEach((part, crashesWithPart) -> {
             if (crashesWithPart.size() >= crashesNeeded(part, now)) {
                 likely.add(part);
@@ -332,13 +338,13 @@
                 .map(Suspect::part);
     }
 
-    private double crashesNeeded(PromptPart part, Duration now) {
+    private double crashesNeeded(RequestPart part, Duration now) {
         return MIN_CRASHES + SOUND_ANSWER_WEIGHT * Math.floor(soundAnswers(part, now));
     }
 
-    private static Set<PromptPart> implicatedParts(Collection<Crash> crashes) {
-        Set<PromptPart> parts = new HashSet<>();
-        crashes.forEach(crash -> crash.prompts().forEach(prompt -> parts.addAll(prompt.parts())));
+    private static Set<RequestPart> implicatedParts(Collection<Crash> crashes) {
+        Set<RequestPart> parts = new HashSet<>();
+        crashes.forEach(crash -> crash.requests().forEach(request -> parts.addAll(request.parts())));
         return parts;
     }
 }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/package-info.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Keeps prompts that crash servers away from them, by evidence that instances share. */
+/** Keeps requests that crash servers away from them, by evidence that instances share. */
 package org.mangoridge.dispatch.quarantine;
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/CallerRequest.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/CallerRequest.java
@@ -21,7 +21,7 @@
         RequestId id,
         Optional<Duration> timeout,
         TokenDemand tokens,
-        List<PromptPart> sharedParts,
+        List<RequestPart> sharedParts,
         OptionalLong resumeAfter) {
 
     public CallerRequest {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/PromptPart.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/RequestPart.java
@@ -3,19 +3,19 @@
 import org.mangoridge.core.Checks;
 
 /**
- * Identifies a part of a prompt, which other prompts may contain too.
+ * Identifies a part of a prompt, which other prompts may contain too, or a whole request.
  *
  * @param value the id as the caller writes it, never blank
  */
-public record PromptPart(String value) {
+public record RequestPart(String value) {
 
-    public PromptPart {
-        Checks.notBlank(value, "prompt part");
+    public RequestPart {
+        Checks.notBlank(value, "request part");
     }
 
     /** Returns the id written as {@code value}. */
-    public static PromptPart of(String value) {
-        return new PromptPart(value);
+    public static RequestPart of(String value) {
+        return new RequestPart(value);
     }
 
     @Override
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
@@ -9,7 +9,7 @@
 
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.dispatch.directory.ServerRun;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 /**
  * Instances before servers that end when they begin to answer certain prompts or requests, on virtual time.
@@ -39,7 +39,7 @@
     private final SplittableRandom random;
     private final List<Instance> instances = new ArrayList<>();
     private final List<Server> servers = new ArrayList<>();
-    private final Map<PromptPart, Crashes> crashes = new HashMap<>();
+    private final Map<RequestPart, Crashes> crashes = new HashMap<>();
     private Duration now = Duration.ZERO;
     private int soundSent;
     private int soundRefused;
@@ -74,7 +74,7 @@
 
     private static final class Instance {
         final int number;
-        PromptQuarantine quarantine = PromptQuarantine.create();
+        RequestQuarantine quarantine = RequestQuarantine.create();
         Duration nextEvidence = Duration.ZERO;
         Duration inContactSince = Duration.ZERO;
 
@@ -83,7 +83,7 @@
         }
     }
 
-    private record Stream(Instance instance, PromptQuarantine observer, Prompt prompt, Duration start) {}
+    private record Stream(Instance instance, RequestQuarantine observer, RequestParts prompt, Duration start) {}
 
     private static final class Server {
         final int number;
@@ -153,11 +153,11 @@
         boolean byPart = crashing && cause < load.crashingParts();
         boolean byRequest = crashing && !byPart;
         // All prompts share few first parts; sound ones have one of many second parts.
-        PromptPart first = PromptPart.of("f" + random.nextInt(4));
-        PromptPart second = PromptPart.of(byPart ? "bad" + cause : "x" + random.nextInt(2000));
-        PromptPart fingerprint = PromptPart.of(byRequest ? "r:" + cause : "s:" + random.nextLong());
+        RequestPart first = RequestPart.of("f" + random.nextInt(4));
+        RequestPart second = RequestPart.of(byPart ? "bad" + cause : "x" + random.nextInt(2000));
+        RequestPart fingerprint = RequestPart.of(byRequest ? "r:" + cause : "s:" + random.nextLong());
         boolean plain = byRequest ? cause % 2 == 0 : !byPart && random.nextInt(3) == 0;
-        Prompt prompt = new Prompt(plain ? List.of(fingerprint) : List.of(first, second, fingerprint));
+        RequestParts prompt = new RequestParts(plain ? List.of(fingerprint) : List.of(first, second, fingerprint));
         boolean refused = instance.quarantine.find(prompt).isPresent();
         if (!crashing) {
             soundSent++;
@@ -180,7 +180,7 @@
         }
     }
 
-    private void recordCrashOf(PromptPart cause, int allowed, Instance sender) {
+    private void recordCrashOf(RequestPart cause, int allowed, Instance sender) {
         Crashes of = crashes.computeIfAbsent(cause, each -> new Crashes());
         boolean late = of.lastAllowedAt != null && now.minus(of.lastAllowedAt).compareTo(CONTACT_BOUND) > 0;
         if (late && !cutNow() && now.minus(sender.inContactSince).compareTo(CONTACT_BOUND) > 0) {
@@ -196,7 +196,7 @@
         if (now.compareTo(server.downUntil) < 0) {
             return;
         }
-        Map<Instance, List<Prompt>> implicated = new HashMap<>();
+        Map<Instance, List<RequestParts>> implicated = new HashMap<>();
         for (Stream stream : server.streams) {
             boolean begins = now.minus(stream.start()).compareTo(Duration.ofMillis(500)) < 0;
             if (begins && stream.observer() == stream.instance().quarantine) {
@@ -226,7 +226,7 @@
     }
 
     private void restart(Instance instance) {
-        instance.quarantine = PromptQuarantine.create();
+        instance.quarantine = RequestQuarantine.create();
         instance.inContactSince = now;
     }
 
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestFingerprintTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestFingerprintTest.java
@@ -6,13 +6,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class RequestFingerprintTest {
 
-    private static PromptPart fingerprint(String method, String target, String caller, String body) {
+    private static RequestPart fingerprint(String method, String target, String caller, String body) {
         ByteBuffer bytes = ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8));
         return RequestFingerprint.of(method, target, caller, bytes);
     }
@@ -39,10 +39,10 @@
     /** Bodies of one length differ only in the hash, which need not be computed for a request of another outline. */
     @Test
     void theOutlineIsThatOfTheRequest() {
-        PromptPart one = fingerprint("POST", "/a", "h", "body");
-        PromptPart other = fingerprint("POST", "/a", "h", "bodx");
+        RequestPart one = fingerprint("POST", "/a", "h", "body");
+        RequestPart other = fingerprint("POST", "/a", "h", "bodx");
         assertThat(RequestFingerprint.outlineOf(one)).isEqualTo(RequestFingerprint.outline("POST", "/a", "h", 4));
         assertThat(RequestFingerprint.outlineOf(other)).isEqualTo(RequestFingerprint.outlineOf(one));
-        assertThat(RequestFingerprint.outlineOf(PromptPart.of("f1"))).isEmpty();
+        assertThat(RequestFingerprint.outlineOf(RequestPart.of("f1"))).isEmpty();
     }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/PromptQuarantineTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestQuarantineTest.java
@@ -10,25 +10,25 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.dispatch.directory.ServerRun;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 
 import static com.google.common.truth.Truth.assertThat;
 
-class PromptQuarantineTest {
+class RequestQuarantineTest {
 
     private static final Duration NOW = Duration.ofMinutes(1);
 
-    private final PromptQuarantine quarantine = PromptQuarantine.create();
+    private final RequestQuarantine quarantine = RequestQuarantine.create();
     private int runs;
 
     /** Returns the prompt whose parts are written with blanks between them. */
-    private static Prompt prompt(String parts) {
-        return new Prompt(
-                Arrays.stream(parts.trim().split(" +")).map(PromptPart::of).toList());
+    private static RequestParts prompt(String parts) {
+        return new RequestParts(
+                Arrays.stream(parts.trim().split(" +")).map(RequestPart::of).toList());
     }
 
-    private static List<Prompt> prompts(String text) {
-        return Arrays.stream(text.split("/")).map(PromptQuarantineTest::prompt).toList();
+    private static List<RequestParts> prompts(String text) {
+        return Arrays.stream(text.split("/")).map(RequestQuarantineTest::prompt).toList();
     }
 
     private ServerRun nextRun() {
@@ -39,8 +39,8 @@
         quarantine.recordCrash(nextRun(), prompts(prompts), NOW);
     }
 
-    private static String quarantined(PromptQuarantine of) {
-        return of.quarantined().stream().map(PromptPart::value).sorted().collect(Collectors.joining(" "));
+    private static String quarantined(RequestQuarantine of) {
+        return of.quarantined().stream().map(RequestPart::value).sorted().collect(Collectors.joining(" "));
     }
 
     /** Crashes are separated by commas, the prompts that one implicates by slashes. */
@@ -70,9 +70,9 @@
     @Test
     void promptsWithAQuarantinedPartAreFound() {
         Arrays.asList("f b", "f b", "f b").forEach(this::crash);
-        assertThat(quarantine.find(prompt("g b x"))).hasValue(PromptPart.of("b"));
+        assertThat(quarantine.find(prompt("g b x"))).hasValue(RequestPart.of("b"));
         assertThat(quarantine.find(prompt("f x")).isPresent()).isFalse();
-        assertThat(quarantine.find(new Prompt(List.of())).isPresent()).isFalse();
+        assertThat(quarantine.find(new RequestParts(List.of())).isPresent()).isFalse();
     }
 
     /** Several connections break at one crash, which must not count as several. */
@@ -106,9 +106,9 @@
     @Test
     void crashesAreForgotten() {
         Arrays.asList("f b", "f b", "f b").forEach(this::crash);
-        quarantine.expire(NOW.plus(PromptQuarantine.RETENTION).minusMillis(1));
+        quarantine.expire(NOW.plus(RequestQuarantine.RETENTION).minusMillis(1));
         assertThat(quarantined(quarantine)).isEqualTo("b");
-        quarantine.expire(NOW.plus(PromptQuarantine.RETENTION));
+        quarantine.expire(NOW.plus(RequestQuarantine.RETENTION));
         assertThat(quarantined(quarantine)).isEmpty();
     }
 
@@ -141,7 +141,7 @@
             requests.append("/f u:").append(i);
         }
         crash(requests.toString());
-        int parts = quarantine.evidence(NOW).crashes().getFirst().prompts().stream()
+        int parts = quarantine.evidence(NOW).crashes().getFirst().requests().stream()
                 .mapToInt(prompt -> prompt.parts().size())
                 .sum();
         assertThat(parts).isAtMost(48);
@@ -153,9 +153,9 @@
         crash("f a1:hash/f a2:hash");
         assertThat(quarantine.suspects("a1")).isTrue();
         assertThat(quarantine.suspects("f")).isFalse();
-        assertThat(quarantine.implicates(PromptPart.of("a1:hash"))).isTrue();
-        assertThat(quarantine.implicates(PromptPart.of("a1:other"))).isFalse();
-        quarantine.expire(NOW.plus(PromptQuarantine.RETENTION));
+        assertThat(quarantine.implicates(RequestPart.of("a1:hash"))).isTrue();
+        assertThat(quarantine.implicates(RequestPart.of("a1:other"))).isFalse();
+        quarantine.expire(NOW.plus(RequestQuarantine.RETENTION));
         assertThat(quarantine.suspects("a1")).isFalse();
     }
 
@@ -172,7 +172,7 @@
 
     @Test
     void evidenceMergesInAnyOrderAndMoreThanOnce() {
-        PromptQuarantine other = PromptQuarantine.create();
+        RequestQuarantine other = RequestQuarantine.create();
         ServerRun shared = nextRun();
         quarantine.recordCrash(shared, prompts("f b"), NOW);
         other.recordCrash(shared, prompts("g i"), NOW);
@@ -192,7 +192,7 @@
             quarantine.recordSoundAnswer(prompt("f"), NOW);
         }
         Arrays.asList("f x", "f y", "f z").forEach(this::crash);
-        PromptQuarantine other = PromptQuarantine.create();
+        RequestQuarantine other = RequestQuarantine.create();
         other.merge(quarantine.evidence(NOW), NOW);
         assertThat(quarantined(other)).isEmpty();
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PromptGuard.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
@@ -19,9 +19,9 @@
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
-import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.quarantine.PromptQuarantine;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.quarantine.RequestParts;
+import org.mangoridge.dispatch.quarantine.RequestQuarantine;
+import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.net.UpstreamPool;
 
@@ -31,7 +31,7 @@
  * <p>A broken connection alone is no crash: the network may have reset it. Only a server that refuses connections
  * afterwards, or has another run by then, and did not announce that it leaves, has crashed.
  */
-public final class PromptGuard {
+public final class CrashGuard {
 
     /** Time in which all connections of this instance to a server that crashed are seen to break. */
     private static final Duration GATHERING_TIME = Duration.ofMillis(20);
@@ -40,7 +40,7 @@
     /** Time within which a server that was started again before the check is listed as another run. */
     private static final Duration RELISTING_TIME = Duration.ofSeconds(5);
 
-    private final PromptQuarantine quarantine = PromptQuarantine.create();
+    private final RequestQuarantine quarantine = RequestQuarantine.create();
     private final EventLoop loop;
     private final Clock clock;
     private final ServerCalls calls;
@@ -55,14 +55,14 @@
      *
      * @param address where the run listened
      * @param at when the first one broke
-     * @param prompts the requests
+     * @param requests the requests
      */
-    private record BrokenOff(HostPort address, Duration at, List<Prompt> prompts) {}
+    private record BrokenOff(HostPort address, Duration at, List<RequestParts> requests) {}
 
     private Runnable onObservedCrash = () -> {};
-    private Set<PromptPart> logged = Set.of();
+    private Set<RequestPart> logged = Set.of();
 
-    private PromptGuard(
+    private CrashGuard(
             EventLoop loop,
             Clock clock,
             ServerCalls calls,
@@ -78,14 +78,14 @@
     }
 
     /** Returns a guard without evidence. */
-    public static PromptGuard create(
+    public static CrashGuard create(
             EventLoop loop,
             Clock clock,
             ServerCalls calls,
             ServerDirectory directory,
             GatewayMetrics metrics,
             EventSink log) {
-        return new PromptGuard(loop, clock, calls, directory, metrics, log);
+        return new CrashGuard(loop, clock, calls, directory, metrics, log);
     }
 
     /** Sets the task that runs when this instance has observed a crash, so that it is told to others at once. */
@@ -94,25 +94,28 @@
     }
 
     /** Returns a part or fingerprint for which a request must not be sent to a server; empty if it may be sent. */
-    Optional<PromptPart> find(RequestIdentity request) {
+    Optional<RequestPart> find(RequestIdentity request) {
         return quarantine.find(known(request));
     }
 
     /** Tells whether a request was on a server when it crashed, so that it must not be repeated without its caller. */
     boolean implicates(RequestIdentity request) {
-        return quarantine.suspects(request.outline()) && quarantine.implicates(request.fingerprint());
+        return quarantine.hasSuspects()
+                && quarantine.suspects(request.outline())
+                && quarantine.implicates(request.fingerprint());
     }
 
     /** Returns what of a request can matter; its body is hashed only if it has the outline of a suspect. */
-    private Prompt known(RequestIdentity request) {
-        return quarantine.suspects(request.outline()) ? request.complete() : request.sharedParts();
+    private RequestParts known(RequestIdentity request) {
+        boolean suspect = quarantine.hasSuspects() && quarantine.suspects(request.outline());
+        return suspect ? request.complete() : request.sharedParts();
     }
 
     /** Records that a server answered a request, or answers it for some time already. */
     void soundAnswer(RequestIdentity request) {
-        Prompt prompt = known(request);
-        if (!prompt.parts().isEmpty()) {
-            quarantine.recordSoundAnswer(prompt, clock.elapsed());
+        RequestParts parts = known(request);
+        if (!parts.parts().isEmpty()) {
+            quarantine.recordSoundAnswer(parts, clock.elapsed());
             logChange();
         }
     }
@@ -125,7 +128,7 @@
         ServerRun run = ServerRun.of(server);
         BrokenOff known = brokenOff.get(run);
         if (known != null) {
-            known.prompts().add(request.complete());
+            known.requests().add(request.complete());
             return;
         }
         brokenOff.put(
@@ -156,13 +159,15 @@
         if (known == null) {
             return;
         }
-        quarantine.recordCrash(run, known.prompts(), known.at());
+        quarantine.recordCrash(run, known.requests(), known.at());
         metrics.count("servers.crashed");
         log.log(
                 LogEvent.SERVER_CRASHED,
                 Field.of("server", run.server()),
                 Field.of("service", service),
-                Field.of("prompts", known.prompts().stream().map(Prompt::parts).toList()));
+                Field.of(
+                        "requests",
+                        known.requests().stream().map(RequestParts::parts).toList()));
         logChange();
         onObservedCrash.run();
     }
@@ -187,7 +192,7 @@
     }
 
     private void logChange() {
-        Set<PromptPart> parts = quarantine.quarantined();
+        Set<RequestPart> parts = quarantine.quarantined();
         if (!parts.equals(logged)) {
             logged = parts;
             log.log(LogEvent.QUARANTINE_CHANGED, Field.of("parts", parts));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -261,14 +261,14 @@
     private void recordSurvival() {
         if (!survivalRecorded) {
             survivalRecorded = true;
-            context.promptGuard().soundAnswer(exchange.scope().identity());
+            context.crashGuard().soundAnswer(exchange.scope().identity());
         }
     }
 
     /** Tells the guard that the server broke off, unless it had been answering for some time. */
     private void recordBreak() {
         if (firstEventAt == null || context.now().minus(firstEventAt).compareTo(BEGINNING) < 0) {
-            context.promptGuard().brokenOff(server, exchange.scope().identity());
+            context.crashGuard().brokenOff(server, exchange.scope().identity());
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -23,7 +23,7 @@
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.request.AttemptWork;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.RetryPolicy;
 
@@ -125,7 +125,7 @@
 
     /** Refuses the request if a part of its prompt crashes servers; returns whether it was refused. */
     boolean refuseIfQuarantined() {
-        Optional<PromptPart> part = context.promptGuard().find(scope.identity());
+        Optional<RequestPart> part = context.crashGuard().find(scope.identity());
         if (part.isEmpty() || responseStarted) {
             return false;
         }
@@ -279,7 +279,7 @@
         if (ended
                 || !prefill.isCacheAvailable()
                 || scope.sends() >= RetryDecision.MAX_SENDS
-                || context.promptGuard().find(scope.identity()).isPresent()) {
+                || context.crashGuard().find(scope.identity()).isPresent()) {
             return false;
         }
         Set<ServerId> others = new HashSet<>(excludedServers);
@@ -322,8 +322,8 @@
 
     /** Returns whether the request may be retried, and takes one retry from the budget if so. */
     private boolean acquireRetry(Verdict verdict) {
-        if (context.promptGuard().find(scope.identity()).isPresent()
-                || context.promptGuard().implicates(scope.identity())
+        if (context.crashGuard().find(scope.identity()).isPresent()
+                || context.crashGuard().implicates(scope.identity())
                 || responseStarted && scope.route().repeat() != RetryPolicy.RESUMABLE) {
             return false;
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -22,7 +22,7 @@
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.AttemptWork;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallFailure;
@@ -76,7 +76,7 @@
 
     /** Refuses the request if it crashes servers; returns whether it was refused. */
     private boolean refuseIfQuarantined() {
-        Optional<PromptPart> part = context.promptGuard().find(scope.identity());
+        Optional<RequestPart> part = context.crashGuard().find(scope.identity());
         part.ifPresent(found -> {
             end();
             scope.refuseQuarantined(found);
@@ -172,7 +172,7 @@
         List<ServerEntry> servers = context.directory().usable(scope.service());
         boolean retrying = allowed
                 && !ended
-                && !context.promptGuard().implicates(scope.identity())
+                && !context.crashGuard().implicates(scope.identity())
                 && context.plainBalancer().choose(servers, tried, context.now()).isPresent()
                 && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
         scope.logAttemptFailed(server, cause, Field.of("repeated", retrying));
@@ -329,7 +329,7 @@
                 onRejection();
             } else {
                 recordOutcome(Verdict.RAN);
-                context.promptGuard().soundAnswer(scope.identity());
+                context.crashGuard().soundAnswer(scope.identity());
                 onResponse(whole);
             }
         }
@@ -394,7 +394,7 @@
                 recordTimeout();
             } else {
                 context.serverHealth().recordAnswer(server, true, context.now().minus(started), context.now());
-                context.promptGuard().brokenOff(server, scope.identity());
+                context.crashGuard().brokenOff(server, scope.identity());
             }
             if (!retry(last, server.id(), failure.detail())) {
                 giveUp(
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -222,7 +222,7 @@
             context.serverHealth().recordUnreachable(server, context.now());
         }
         if (failure.progress() != AttemptProgress.BEFORE_CONNECT && !failure.timedOut()) {
-            context.promptGuard().brokenOff(server, exchange.scope().identity());
+            context.crashGuard().brokenOff(server, exchange.scope().identity());
         }
         release();
         exchange.prefillFailed(server, failure.detail());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -19,7 +19,7 @@
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.CallerRequest;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.gateway.net.CallerExchange;
 import org.mangoridge.gateway.net.UpstreamRequest;
 
@@ -134,7 +134,7 @@
     }
 
     /** Refuses the request because it, or a part of its prompt, crashes servers. */
-    void refuseQuarantined(PromptPart part) {
+    void refuseQuarantined(RequestPart part) {
         refuse(
                 RefusalReason.QUARANTINED,
                 "the request, or a part of its prompt, has crashed several backend servers",
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -9,6 +9,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -96,7 +97,8 @@
     /** Makes the call of a permit; {@code listener} receives the events of the call unless it is cancelled. */
     public UpstreamCall call(SendPermit permit, UpstreamRequest request, CallListener listener) {
         metrics.count(permit.kind().counter());
-        if (limiter.limit(ServerRun.of(permit.server())).isPresent()) {
+        if (limiter.knowsLimits()
+                && limiter.limit(ServerRun.of(permit.server())).isPresent()) {
             metrics.count("sends.to_limited");
         }
         return pool.call(request, new AnnouncementReader(permit, listener));
@@ -119,6 +121,9 @@
 
     /** Returns fields that tell how the limits of servers bear on the choice of one; none if there are no limits. */
     List<Field> limitFields(List<ServerEntry> chosen, List<ServerEntry> servers) {
+        if (!limiter.knowsLimits()) {
+            return List.of();
+        }
         Duration now = clock.elapsed();
         List<Field> fields = new ArrayList<>();
         long withheld =
@@ -174,7 +179,7 @@
         private void readLimit(HttpResponse response) {
             ServerEntry server = permit.server();
             // A release does not name its server, and another one may have the address by now.
-            if (permit.kind() == CallKind.RELEASE || dialect.readReply(response).misdirected()) {
+            if (permit.kind() == CallKind.RELEASE || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
                 return;
             }
             Result<Optional<RateLimit>, String> announced = dialect.readAnnouncedLimit(response.headers());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -25,11 +25,11 @@
 import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.limit.RateLimit;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
-import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.quarantine.RequestParts;
+import org.mangoridge.dispatch.request.RequestPart;
+import org.mangoridge.gateway.thrift.ImplicatedRequest;
 import org.mangoridge.gateway.thrift.LoadBatch;
 import org.mangoridge.gateway.thrift.LoadMessage;
-import org.mangoridge.gateway.thrift.PromptParts;
 import org.mangoridge.gateway.thrift.ServerCrash;
 import org.mangoridge.gateway.thrift.ServerLimit;
 import org.mangoridge.gateway.thrift.ServerShare;
@@ -49,7 +49,7 @@
 
     private final Map<String, HostPort> addressCache = new HashMap<>();
 
-    /** Bounds the characters of the id of a part of a prompt. */
+    /** Bounds the characters of the id of a part of a request. */
     private static final int MAX_PART_LENGTH = 64;
 
     /** Bounds the demand of one instance, so that sums over all do not overflow. */
@@ -105,15 +105,15 @@
     static byte[] encodeEvidence(CrashEvidence evidence, boolean passOn) {
         List<ServerCrash> crashes = new ArrayList<>();
         for (CrashEvidence.Crash crash : evidence.crashes()) {
-            List<PromptParts> prompts = crash.prompts().stream()
-                    .map(prompt -> new PromptParts(
-                            prompt.parts().stream().map(PromptPart::value).toList()))
+            List<ImplicatedRequest> requests = crash.requests().stream()
+                    .map(request -> new ImplicatedRequest(
+                            request.parts().stream().map(RequestPart::value).toList()))
                     .toList();
             crashes.add(new ServerCrash(
                     crash.run().server().value(),
                     crash.run().startedMillis(),
                     crash.age().toMillis(),
-                    prompts));
+                    requests));
         }
         List<SoundPart> soundParts = new ArrayList<>();
         evidence.soundAnswers().forEach((part, count) -> soundParts.add(new SoundPart(part.value(), count)));
@@ -150,16 +150,16 @@
     private static CrashEvidence evidence(LoadBatch batch) {
         List<CrashEvidence.Crash> crashes = new ArrayList<>();
         for (ServerCrash crash : batch.getCrashes()) {
-            List<Prompt> prompts = crash.getPrompts().stream()
-                    .map(prompt -> new Prompt(
-                            prompt.getParts().stream().map(LoadCodec::part).toList()))
+            List<RequestParts> requests = crash.getRequests().stream()
+                    .map(request -> new RequestParts(
+                            request.getParts().stream().map(LoadCodec::part).toList()))
                     .toList();
             crashes.add(new CrashEvidence.Crash(
                     new ServerRun(ServerId.of(crash.getServer()), crash.getStartedMillis()),
                     Duration.ofMillis(crash.getAgeMillis()),
-                    prompts));
+                    requests));
         }
-        Map<PromptPart, Double> soundAnswers = new HashMap<>();
+        Map<RequestPart, Double> soundAnswers = new HashMap<>();
         for (SoundPart sound : batch.getSoundParts()) {
             Checks.argument(Double.isFinite(sound.getAnswers()), "the number of sound answers is not finite");
             soundAnswers.put(part(sound.getPart()), sound.getAnswers());
@@ -167,9 +167,9 @@
         return new CrashEvidence(crashes, soundAnswers);
     }
 
-    private static PromptPart part(String text) {
-        Checks.argument(text.length() <= MAX_PART_LENGTH, "the id of a part of a prompt is too long");
-        return PromptPart.of(text);
+    private static RequestPart part(String text) {
+        Checks.argument(text.length() <= MAX_PART_LENGTH, "the id of a part of a request is too long");
+        return RequestPart.of(text);
     }
 
     private static byte[] write(TBase<?, ?> message) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -64,7 +64,7 @@
 
         @Override
         public CrashEvidence evidence() {
-            return context.promptGuard().evidence();
+            return context.crashGuard().evidence();
         }
 
         @Override
@@ -197,7 +197,7 @@
                         Field.of("address", from),
                         Field.of("detail", "undecodable load report: " + error)));
         if (!reception.evidence().isEmpty()
-                && context.promptGuard().merge(reception.evidence())
+                && context.crashGuard().merge(reception.evidence())
                 && gossip.passesEvidenceOn()) {
             gossip.evidenceChanged(now);
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -26,9 +26,9 @@
 import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.dispatch.follow.StoreLag;
 import org.mangoridge.dispatch.limit.ServerRateLimiter;
+import org.mangoridge.gateway.exchange.CrashGuard;
 import org.mangoridge.gateway.exchange.GatewayContext;
 import org.mangoridge.gateway.exchange.GatewayMetrics;
-import org.mangoridge.gateway.exchange.PromptGuard;
 import org.mangoridge.gateway.exchange.RequestRouter;
 import org.mangoridge.gateway.exchange.ServerCalls;
 import org.mangoridge.gateway.exchange.WireDialect;
@@ -119,7 +119,7 @@
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
         this.loadGossip = LoadGossipTransport.create(
                 context, origin(settings, clock), peers, this::storeVersions, this::catchUpWithPeers);
-        context.promptGuard().onObservedCrash(loadGossip::evidenceObserved);
+        context.crashGuard().onObservedCrash(loadGossip::evidenceObserved);
         context.calls().onLimitChange(loadGossip::evidenceObserved);
         loads.onOwnChange(loadGossip::loadChanged);
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
@@ -197,7 +197,7 @@
                 budget,
                 PlainBalancer.create(loads, tracks, limiter, settings.zone(), random),
                 EngineBalancer.create(loads, tracks, limiter, pace, settings.zone()),
-                PromptGuard.create(loop, clock, calls, directory, metrics, log),
+                CrashGuard.create(loop, clock, calls, directory, metrics, log),
                 metrics,
                 log);
     }
@@ -315,7 +315,7 @@
         if (now.minus(lastSweep).compareTo(POOL_SWEEP_INTERVAL) >= 0) {
             lastSweep = now;
             pool.sweep();
-            context.promptGuard().expire();
+            context.crashGuard().expire();
         }
         logReadinessChange();
         if (drainingSince == null) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ServerEvents.java
@@ -92,7 +92,7 @@
     }
 
     private void logListed(ServerEntry entry) {
-        context.promptGuard().listed(entry);
+        context.crashGuard().listed(entry);
         context.log().log(
                 LogEvent.SERVER_LISTED,
                 Field.of("server", entry.id()),
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -52,8 +52,8 @@
   14: optional list<ServiceDemand> demands = []
 }
 
-/** The shared parts of a prompt, in order. */
-struct PromptParts {
+/** The shared parts of a prompt, in order, and the fingerprint of the request. */
+struct ImplicatedRequest {
   1: required list<string> parts
 }
 
@@ -64,11 +64,11 @@
   2: required i64 startedMillis
   /** How long ago it ended. */
   3: required i64 ageMillis
-  /** The prompts that it was about to answer or had just begun to answer. */
-  4: required list<PromptParts> prompts
+  /** The requests that it was about to answer or had just begun to answer. */
+  4: required list<ImplicatedRequest> requests
 }
 
-/** The decayed number of sound answers to prompts with a part. */
+/** The decayed number of sound answers to requests with a part. */
 struct SoundPart {
   1: required string part
   2: required double answers
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/EvidencePagesTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/EvidencePagesTest.java
@@ -12,8 +12,8 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
-import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.quarantine.RequestParts;
+import org.mangoridge.dispatch.request.RequestPart;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -25,14 +25,15 @@
     private static CrashEvidence evidence(int crashes) {
         List<CrashEvidence.Crash> all = new ArrayList<>();
         for (int i = 0; i < crashes; i++) {
-            List<Prompt> prompts = new ArrayList<>();
+            List<RequestParts> prompts = new ArrayList<>();
             for (int j = 0; j < 1 + i % 8; j++) {
-                prompts.add(new Prompt(List.of(PromptPart.of("f0000000"), PromptPart.of("%08x".formatted(i * 8 + j)))));
+                prompts.add(new RequestParts(
+                        List.of(RequestPart.of("f0000000"), RequestPart.of("%08x".formatted(i * 8 + j)))));
             }
             ServerRun run = new ServerRun(ServerId.of("i-%010x".formatted(i)), 1_700_000_000_000L + i);
             all.add(new CrashEvidence.Crash(run, Duration.ofMillis(i), prompts));
         }
-        return new CrashEvidence(all, Map.of(PromptPart.of("f0000000"), 7.5));
+        return new CrashEvidence(all, Map.of(RequestPart.of("f0000000"), 7.5));
     }
 
     /** Every crash is told within a few pages, and the newest one in each, whatever the number of crashes. */
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -26,8 +26,8 @@
 import org.mangoridge.dispatch.limit.RateLimit;
 import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
-import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.quarantine.PromptQuarantine;
+import org.mangoridge.dispatch.quarantine.RequestParts;
+import org.mangoridge.dispatch.quarantine.RequestQuarantine;
 
 /** Simulates a fleet of instances that gossip load reports, in virtual time over a simulated network. */
 final class GossipFleet {
@@ -61,7 +61,7 @@
         final PeerTable table;
         final LoadTracker loads = LoadTracker.create();
         final LoadGossip gossip;
-        PromptQuarantine quarantine = PromptQuarantine.create();
+        RequestQuarantine quarantine = RequestQuarantine.create();
         ServerRateLimiter limiter;
         long datagrams;
         long bytesSent;
@@ -175,7 +175,7 @@
         }
 
         /** Observes that a server crashed under a prompt. */
-        void observeCrash(int server, Prompt prompt) {
+        void observeCrash(int server, RequestParts prompt) {
             quarantine.recordCrash(new ServerRun(ServerId.of("s-" + server), 1), List.of(prompt), now);
             gossip.evidenceChanged(now);
             scheduleTimer();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadGossipTest.java
@@ -11,9 +11,9 @@
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.net.HostPort;
-import org.mangoridge.dispatch.quarantine.Prompt;
-import org.mangoridge.dispatch.quarantine.PromptQuarantine;
-import org.mangoridge.dispatch.request.PromptPart;
+import org.mangoridge.dispatch.quarantine.RequestParts;
+import org.mangoridge.dispatch.quarantine.RequestQuarantine;
+import org.mangoridge.dispatch.request.RequestPart;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -81,7 +81,7 @@
         GossipFleet fleet = GossipFleet.create(size, zones, 12);
         fleet.run(Duration.ofSeconds(10));
         fleet.setLossRate(lossRate);
-        Prompt prompt = new Prompt(List.of(PromptPart.of("f1"), PromptPart.of("bad0")));
+        RequestParts prompt = new RequestParts(List.of(RequestPart.of("f1"), RequestPart.of("bad0")));
         for (int i = 0; i < 3; i++) {
             fleet.members().get(i * size / 3).observeCrash(i, prompt);
         }
@@ -89,7 +89,7 @@
         assertThat(ignorant(fleet)).isEqualTo(0);
         // Those that observed the crashes restart and have forgotten them.
         for (int i = 0; i < 3; i++) {
-            fleet.members().get(i * size / 3).quarantine = PromptQuarantine.create();
+            fleet.members().get(i * size / 3).quarantine = RequestQuarantine.create();
         }
         fleet.run(CONTACT_BOUND);
         assertThat(ignorant(fleet)).isEqualTo(0);
