--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestQuarantine.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestQuarantine.java
@@ -164,9 +164,9 @@
         return suspectOutlines.contains(outline);
     }
 
-    /** Tells whether a crash implicates a part or fingerprint. */
-    public boolean implicates(RequestPart part) {
-        return crashes.values().stream().anyMatch(crash -> crash.implicates(part));
+    /** Tells whether a crash implicates a part or fingerprint that no server has answered of late. */
+    public boolean implicates(RequestPart part, Duration now) {
+        return soundAnswers(part, now) < 1 && crashes.values().stream().anyMatch(crash -> crash.implicates(part));
     }
 
     /** Returns the quarantined parts and fingerprints. */
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestQuarantineTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestQuarantineTest.java
@@ -153,8 +153,10 @@
         crash("f a1:hash/f a2:hash");
         assertThat(quarantine.suspects("a1")).isTrue();
         assertThat(quarantine.suspects("f")).isFalse();
-        assertThat(quarantine.implicates(RequestPart.of("a1:hash"))).isTrue();
-        assertThat(quarantine.implicates(RequestPart.of("a1:other"))).isFalse();
+        assertThat(quarantine.implicates(RequestPart.of("a1:hash"), NOW)).isTrue();
+        assertThat(quarantine.implicates(RequestPart.of("a1:other"), NOW)).isFalse();
+        quarantine.recordSoundAnswer(prompt("f a1:hash"), NOW);
+        assertThat(quarantine.implicates(RequestPart.of("a1:hash"), NOW)).isFalse();
         quarantine.expire(NOW.plus(RequestQuarantine.RETENTION));
         assertThat(quarantine.suspects("a1")).isFalse();
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
@@ -102,7 +102,7 @@
     boolean implicates(RequestIdentity request) {
         return quarantine.hasSuspects()
                 && quarantine.suspects(request.outline())
-                && quarantine.implicates(request.fingerprint());
+                && quarantine.implicates(request.fingerprint(), clock.elapsed());
     }
 
     /** Returns what of a request can matter; its body is hashed only if it has the outline of a suspect. */
