Check a server each time that connections to it break

What callers saw: nothing; read in the diff. A run whose connection had broken for another reason was kept for five seconds without a further check, so that its crash within that time was not noticed, and requests of the first break were blamed.

Cause: one map for what is being checked and for what may be confirmed by the listing of another run. They are apart now.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import org.mangoridge.core.event.Field;
@@ -47,8 +48,10 @@
     private final ServerDirectory directory;
     private final GatewayMetrics metrics;
     private final EventSink log;
-    /** The runs of servers whose connections broke, and which may turn out to have crashed. */
+    /** The runs of servers whose connections broke and which are being checked. */
     private final Map<ServerRun, BrokenOff> brokenOff = new HashMap<>();
+    /** The runs that were not seen to have crashed when they were checked, until another run may be listed. */
+    private final Map<ServerRun, BrokenOff> unconfirmed = new HashMap<>();
 
     /**
      * The requests whose connections to a run of a server broke.
@@ -138,10 +141,11 @@
 
     /** Records that a server is listed: where another run broke off just before, that one has crashed. */
     public void listed(ServerEntry entry) {
-        List<ServerRun> crashed = brokenOff.entrySet().stream()
+        List<ServerRun> crashed = Stream.concat(brokenOff.entrySet().stream(), unconfirmed.entrySet().stream())
                 .filter(each -> each.getValue().address().equals(entry.address())
                         && !each.getKey().equals(ServerRun.of(entry)))
                 .map(Map.Entry::getKey)
+                .distinct()
                 .toList();
         crashed.forEach(run -> crashed(run, entry.service()));
     }
@@ -150,12 +154,19 @@
         calls.checkListening(server, CHECK_TIMEOUT, listening -> {
             if (listening == UpstreamPool.Listening.NO) {
                 crashed(run, server.service());
+                return;
+            }
+            BrokenOff checked = brokenOff.remove(run);
+            if (checked != null) {
+                unconfirmed.put(run, checked);
             }
         });
     }
 
     private void crashed(ServerRun run, ServiceId service) {
-        BrokenOff known = brokenOff.remove(run);
+        BrokenOff earlier = unconfirmed.remove(run);
+        BrokenOff known = brokenOff.getOrDefault(run, earlier);
+        brokenOff.remove(run);
         if (known == null) {
             return;
         }
@@ -187,7 +198,7 @@
     /** Drops evidence that no longer counts; to be called now and then. */
     public void expire() {
         quarantine.expire(clock.elapsed());
-        brokenOff.values().removeIf(each -> clock.elapsed().minus(each.at()).compareTo(RELISTING_TIME) > 0);
+        unconfirmed.values().removeIf(each -> clock.elapsed().minus(each.at()).compareTo(RELISTING_TIME) > 0);
         logChange();
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -33,7 +33,7 @@
  * @param retryBudget limits the share of requests that are retries
  * @param plainBalancer chooses servers of plain services
  * @param engineBalancer chooses servers of model services
- * @param crashGuard keeps prompts that crash servers away from them
+ * @param crashGuard keeps requests that crash servers away from them
  * @param metrics counters and histograms
  * @param log the event log
  */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -131,17 +131,21 @@
         if (withheld > 0) {
             fields.add(Field.of("at_limit", withheld));
         }
-        for (ServerEntry server : chosen) {
-            limiter.share(server, now).ifPresent(share -> {
-                fields.add(Field.of("limited", server.id()));
-                fields.add(Field.of("limit", share.limit()));
-                fields.add(Field.of("limit_share", share.requestsPerSecond()));
-                fields.add(Field.of("limit_age_ms", share.silence()));
-            });
-        }
+        chosen.stream()
+                .filter(server -> limiter.share(server, now).isPresent())
+                .findFirst()
+                .ifPresent(server -> addShare(fields, server, now));
         return fields;
     }
 
+    private void addShare(List<Field> fields, ServerEntry server, Duration now) {
+        ServerRateLimiter.Share share = limiter.share(server, now).orElseThrow();
+        fields.add(Field.of("limited", server.id()));
+        fields.add(Field.of("limit", share.limit()));
+        fields.add(Field.of("limit_share", share.requestsPerSecond()));
+        fields.add(Field.of("limit_age_ms", share.silence()));
+    }
+
     /** Finds out whether a server accepts connections; see {@link UpstreamPool#checkListening}. */
     void checkListening(ServerEntry server, Duration timeout, Consumer<UpstreamPool.Listening> result) {
         pool.checkListening(server.address(), timeout, result);
