--- a/mangoridge-cli/src/test/java/org/mangoridge/cli/WireNamesTest.java
+++ b/mangoridge-cli/src/test/java/org/mangoridge/cli/WireNamesTest.java
@@ -30,6 +30,7 @@
                 "Length-Hint",
                 "Response-Signature",
                 "Not-Executed",
+                "Server-Limit",
                 "Expected-Instance",
                 "Kv-Source",
                 "kv_handle",
