--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestQuarantine.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestQuarantine.java
@@ -307,7 +307,7 @@
         }
         quarantined = Set.copyOf(found);
         suspectOutlines = implicatedParts(crashes.values()).stream()
-                .map(RequestFingerprint::outlineOf)
+                .map(RequestPart::outline)
                 .collect(Collectors.toSet());
     }
 
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/quarantine/RequestFingerprint.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestFingerprint.java
@@ -1,4 +1,4 @@
-package org.mangoridge.dispatch.quarantine;
+package org.mangoridge.gateway.exchange;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -15,23 +15,21 @@
  * <p>A fingerprint begins with an outline of the request, which costs little and leaves few requests whose body has to be
  * hashed. The hash is cryptographic, so that nobody can make another's request look like one that crashes servers.
  */
-public final class RequestFingerprint {
+final class RequestFingerprint {
 
-    /** Separates the outline from the hash; ids of prompt parts do not contain it. */
-    private static final String SEPARATOR = ":";
     /** Bytes of the hash that are kept; 128 bits. */
     private static final int HASH_BYTES = 16;
 
     private RequestFingerprint() {}
 
     /** Returns the outline of a request, which the same requests share, and few others. */
-    public static String outline(String method, String target, String caller, int bodyLength) {
+    static String outline(String method, String target, String caller, int bodyLength) {
         int mixed = ((method.hashCode() * 31 + target.hashCode()) * 31 + caller.hashCode()) * 31 + bodyLength;
         return Integer.toHexString(mixed);
     }
 
     /** Returns the fingerprint of a request. */
-    public static RequestPart of(String method, String target, String caller, ByteBuffer body) {
+    static RequestPart of(String method, String target, String caller, ByteBuffer body) {
         MessageDigest digest = newDigest();
         for (String text : new String[] {method, target, caller}) {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
@@ -43,13 +41,7 @@
         digest.update(body.duplicate());
         String hash =
                 Base64.getUrlEncoder().withoutPadding().encodeToString(Arrays.copyOf(digest.digest(), HASH_BYTES));
-        return RequestPart.of(outline(method, target, caller, length) + SEPARATOR + hash);
-    }
-
-    /** Returns the outline in a fingerprint; empty for the id of a part of a prompt. */
-    static String outlineOf(RequestPart part) {
-        int end = part.value().indexOf(SEPARATOR);
-        return end < 0 ? "" : part.value().substring(0, end);
+        return RequestPart.ofRequest(outline(method, target, caller, length), hash);
     }
 
     private static MessageDigest newDigest() {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestIdentity.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestIdentity.java
@@ -4,7 +4,6 @@
 import java.util.List;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import org.mangoridge.dispatch.quarantine.RequestFingerprint;
 import org.mangoridge.dispatch.quarantine.RequestParts;
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.gateway.net.InboundRequest;
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/RequestFingerprintTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/RequestFingerprintTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.dispatch.quarantine;
+package org.mangoridge.gateway.exchange;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -41,8 +41,8 @@
     void theOutlineIsThatOfTheRequest() {
         RequestPart one = fingerprint("POST", "/a", "h", "body");
         RequestPart other = fingerprint("POST", "/a", "h", "bodx");
-        assertThat(RequestFingerprint.outlineOf(one)).isEqualTo(RequestFingerprint.outline("POST", "/a", "h", 4));
-        assertThat(RequestFingerprint.outlineOf(other)).isEqualTo(RequestFingerprint.outlineOf(one));
-        assertThat(RequestFingerprint.outlineOf(RequestPart.of("f1"))).isEmpty();
+        assertThat(one.outline()).isEqualTo(RequestFingerprint.outline("POST", "/a", "h", 4));
+        assertThat(other.outline()).isEqualTo(one.outline());
+        assertThat(RequestPart.of("f1").outline()).isEmpty();
     }
 }
