--- a/review/standin/EndlessBytes.java
+++ b/review/standin/EndlessBytes.java
@@ -1,7 +1,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -25,28 +24,25 @@
      *
      * @param arguments the repository, the folder of the case, and either "letters" or "lines"
      */
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         byte[] garbage = arguments[2].equals("letters") ? chunks('x', 64) : chunks('\n', 16384);
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code = 2;
-        try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
-                Deployment deployment = new Deployment(Path.of(arguments[0]), record)) {
-            deployment.configure(List.of(
-                    Deployment.streams("/draft/", false, 1, 14_000),
-                    Deployment.calls("/order/", "unsafe", 1, TIMEOUT_MILLIS)));
-            deployment.addModelServers(2, 6, 39);
-            deployment.addPlainServers(3, 6, 21);
-            if (deployment.start(280)) {
-                code = play(deployment, record, trouble ? garbage : null);
-            }
-        }
-        System.exit(code);
+        Case.run(
+                arguments,
+                280,
+                deployment -> {
+                    deployment.configure(List.of(
+                            Deployment.streams("/draft/", false, 1, 14_000),
+                            Deployment.calls("/order/", "unsafe", 1, TIMEOUT_MILLIS)));
+                    deployment.addModelServers(2, 6, 39);
+                    deployment.addPlainServers(3, 6, 21);
+                },
+                (deployment, record, trouble) -> play(deployment, record, trouble ? garbage : null));
     }
 
     private static int play(Deployment deployment, Record record, byte[] garbage) throws Exception {
+        AtomicBoolean spoiled = new AtomicBoolean();
         if (garbage != null) {
             ModelServer server = deployment.decodeServers.get(0);
-            AtomicBoolean spoiled = new AtomicBoolean();
             server.fault = (request, event, out) -> {
                 if (event != 10 || server.answers.get() < ANSWERS_PER_SPOILED || spoiled.getAndSet(true)) {
                     return false;
@@ -90,7 +86,7 @@
         for (Thread client : clients) {
             client.join();
         }
-        return judge(calls, record);
+        return garbage != null && !spoiled.get() ? Case.NOT_RUN : judge(calls, record);
     }
 
     /** Returns some chunks of a body that hold nothing but one character. */
@@ -143,8 +139,8 @@
         record.line("%s", result);
         System.out.println(result);
         if (answered < 100) {
-            return 2;
+            return Case.NOT_RUN;
         }
-        return late >= 8 && late * 2 > unanswered ? 1 : 0;
+        return late >= 8 && late * 2 > unanswered ? Case.BROKEN : Case.HELD;
     }
 }
--- a/review/standin/ForeignEntry.java
+++ b/review/standin/ForeignEntry.java
@@ -1,5 +1,4 @@
 import java.math.BigInteger;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -15,19 +14,16 @@
 
     private ForeignEntry() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code = 2;
-        try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
-                Deployment deployment = new Deployment(Path.of(arguments[0]), record)) {
-            deployment.configure(List.of(Deployment.calls("/order/", "unsafe", 1, 800)));
-            deployment.addModelServers(2, 6, 39);
-            deployment.addPlainServers(3, 6, 21);
-            if (deployment.start(280)) {
-                code = play(deployment, record, trouble);
-            }
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(
+                arguments,
+                280,
+                deployment -> {
+                    deployment.configure(List.of(Deployment.calls("/order/", "unsafe", 1, 800)));
+                    deployment.addModelServers(2, 6, 39);
+                    deployment.addPlainServers(3, 6, 21);
+                },
+                ForeignEntry::play);
     }
 
     private static int play(Deployment deployment, Record record, boolean trouble) throws Exception {
@@ -98,8 +94,8 @@
         record.line("%s", result);
         System.out.println(result);
         if (before < 100 || after < 100 || servedBefore * 4 < before) {
-            return 2;
+            return Case.NOT_RUN;
         }
-        return servedAfter * 4 < after ? 1 : 0;
+        return servedAfter * 4 < after ? Case.BROKEN : Case.HELD;
     }
 }
--- a/review/standin/HungStreams.java
+++ b/review/standin/HungStreams.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -15,18 +14,15 @@
 
     private HungStreams() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code = 2;
-        try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
-                Deployment deployment = new Deployment(Path.of(arguments[0]), record)) {
-            deployment.configure(List.of(Deployment.streams("/draft/", true, 2, TIMEOUT_MILLIS)));
-            deployment.addModelServers(2, 6, 39);
-            if (deployment.start(430)) {
-                code = play(deployment, record, trouble);
-            }
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(
+                arguments,
+                430,
+                deployment -> {
+                    deployment.configure(List.of(Deployment.streams("/draft/", true, 2, TIMEOUT_MILLIS)));
+                    deployment.addModelServers(2, 6, 39);
+                },
+                HungStreams::play);
     }
 
     private static int play(Deployment deployment, Record record, boolean trouble) throws Exception {
@@ -94,8 +90,8 @@
         record.line("%s", result);
         System.out.println(result);
         if (complete < 100) {
-            return 2;
+            return Case.NOT_RUN;
         }
-        return late >= 8 && late * 4 > longer ? 1 : 0;
+        return late >= 8 && late * 4 > longer ? Case.BROKEN : Case.HELD;
     }
 }
--- a/review/standin/SilentServers.java
+++ b/review/standin/SilentServers.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -19,18 +18,15 @@
     /** A stream and the instance that took it. */
     private record Taken(Instance instance, Caller.Outcome outcome) {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code = 2;
-        try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
-                Deployment deployment = new Deployment(Path.of(arguments[0]), record)) {
-            deployment.configure(List.of(Deployment.streams("/draft/", true, 2, 14_000)));
-            deployment.addModelServers(2, 6, 39);
-            if (deployment.start(430)) {
-                code = play(deployment, record, trouble);
-            }
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(
+                arguments,
+                430,
+                deployment -> {
+                    deployment.configure(List.of(Deployment.streams("/draft/", true, 2, 14_000)));
+                    deployment.addModelServers(2, 6, 39);
+                },
+                SilentServers::play);
     }
 
     private static int play(Deployment deployment, Record record, boolean trouble) throws Exception {
@@ -97,8 +93,8 @@
         record.line("%s", result);
         System.out.println(result);
         if (complete < 20 || taken == 0) {
-            return 2;
+            return Case.NOT_RUN;
         }
-        return cut > 0 ? 1 : 0;
+        return cut > 0 ? Case.BROKEN : Case.HELD;
     }
 }
