--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -22,11 +22,11 @@
     /**
      * Runs a case.
      *
-     * @param arguments the repository and the folder of the case
+     * @param arguments the repository, the folder of the case, and "0" for a run without the disruption
      * @param memoryMb the memory that the settings of an instance name
      */
     static void run(String[] arguments, int memoryMb, Setup setup, Play play) {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !arguments[2].equals("0");
         int code = NOT_RUN;
         try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
                 Deployment deployment = new Deployment(Path.of(arguments[0]), record)) {
--- a/review/standin/EndlessBytes.java
+++ b/review/standin/EndlessBytes.java
@@ -22,10 +22,10 @@
     /**
      * Runs the case.
      *
-     * @param arguments the repository, the folder of the case, and either "letters" or "lines"
+     * @param arguments those of {@link Case#run}, and either "letters" or "lines"
      */
     public static void main(String[] arguments) {
-        byte[] garbage = arguments[2].equals("letters") ? chunks('x', 64) : chunks('\n', 16384);
+        byte[] garbage = arguments[3].equals("letters") ? chunks('x', 64) : chunks('\n', 16384);
         Case.run(
                 arguments,
                 280,
--- a/review/standin/ModelServer.java
+++ b/review/standin/ModelServer.java
@@ -14,6 +14,7 @@
  */
 final class ModelServer {
 
+    private static final int SWITCH_MILLIS = 6000;
     private static final double PREFILL_TOKENS_PER_MILLI = 100.0 / 3;
 
     /** What a stream does beyond its events; called before each. */
@@ -34,7 +35,7 @@
 
     final String service;
     final String zone;
-    final String stage;
+    private volatile String stage;
     final Http.Listener listener;
     private final Store store;
     private final Record record;
@@ -49,6 +50,8 @@
     private volatile String id;
     private volatile long born;
     private int orders;
+    private long highestFence;
+    private boolean busy;
     /** The answers that this server has begun so far. */
     final AtomicInteger answers = new AtomicInteger();
 
@@ -139,8 +142,7 @@
         } else if (target.equals("/report")) {
             Http.respond(out, 200, echo + "Content-Type: application/json\r\n", report());
         } else if (target.equals("/order")) {
-            record.line("order at %s: %s", id, request.text());
-            Http.respond(out, 409, echo, "");
+            order(request, echo, out);
         } else if (target.equals("/hold-take")) {
             hold(request, echo, out);
         } else if (target.startsWith("/hold-drop/")) {
@@ -162,10 +164,48 @@
         return true;
     }
 
+    private void order(Http.Message request, String echo, OutputStream out) throws IOException {
+        Map<String, Object> order = Json.object(Json.parse(request.text()));
+        String to = (String) order.get("stage");
+        long fence = (Long) order.get("fence");
+        Object expected = order.get("expect");
+        int status;
+        synchronized (this) {
+            if (fence < highestFence) {
+                status = 412;
+            } else if (busy || expected != null && (Long) expected != orders) {
+                status = 409;
+            } else {
+                status = to.equals(stage) ? 200 : 202;
+                highestFence = fence;
+                orders += status == 202 ? 1 : 0;
+                busy = status == 202;
+            }
+        }
+        record.line("order at %s: %s, answered %d", id, request.text(), status);
+        if (status == 202) {
+            Thread.ofVirtual().start(() -> changeStage(to));
+        }
+        Http.respond(out, status, echo, "");
+    }
+
+    private void changeStage(String to) {
+        try {
+            Thread.sleep(SWITCH_MILLIS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        synchronized (this) {
+            stage = to;
+            busy = false;
+        }
+        write("ready");
+    }
+
     private synchronized String report() {
         return Json.write(Json.of(
                 "stage", stage, "models", List.of(Json.of("name", "m", "version", 1, "adapters", List.of())), "busy",
-                false, "seq", orders, "queued", 0, "running", running, "kv_used", memory, "kv_total", kvCapacity,
+                busy, "seq", orders, "queued", 0, "running", running, "kv_used", memory, "kv_total", kvCapacity,
                 "kv_handles", kvHandles.size(), "born", born));
     }
 
