Log what the connection of an answer was used for, and count answers without a name

Three counters: answers.unnamed (answers without an id to a request with one), answers.foreign (answers that name another request), connections.surplus (connections closed for bytes that came while no call was in progress). One object of two fields per call on a kept connection; one more read of the head's headers per answer.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -99,6 +99,7 @@
                                 EngineTimeouts.MAX_IDLE_FOR_REUSE,
                                 EngineTimeouts.CONNECT_TIMEOUT),
                         this);
+        scope.recordCall(call);
     }
 
     /** Returns whether the server may have executed the request. */
@@ -189,6 +190,7 @@
         }
         head = response;
         reply = read;
+        exchange.scope().recordHead(reply);
         return true;
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -219,6 +219,7 @@
                             permit,
                             scope.upstreamRequest(server.address(), attempt, MAX_IDLE_FOR_REUSE, CONNECT_TIMEOUT),
                             this);
+            scope.recordCall(call);
         }
 
         private Duration retryDelay() {
@@ -297,6 +298,7 @@
             }
             head = response;
             reply = read;
+            scope.recordHead(reply);
             return true;
         }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -88,6 +88,7 @@
                                 EngineTimeouts.MAX_IDLE_FOR_REUSE,
                                 EngineTimeouts.CONNECT_TIMEOUT),
                         this);
+        scope.recordCall(call);
     }
 
     private void onTimeout() {
@@ -161,6 +162,7 @@
             return false;
         }
         reply = response;
+        exchange.scope().recordHead(reply);
         return true;
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -20,7 +20,9 @@
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.CallerRequest;
 import org.mangoridge.dispatch.request.RequestPart;
+import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.gateway.net.CallerExchange;
+import org.mangoridge.gateway.net.UpstreamCall;
 import org.mangoridge.gateway.net.UpstreamRequest;
 
 /** The state of one request while it is served: its route, its deadline and whether it may have been executed. */
@@ -40,6 +42,10 @@
     private Verdict verdict = Verdict.NOT_RUN;
     private int runs;
     private int sends;
+    /** The newest call to a server; null before. */
+    private UpstreamCall lastCall;
+
+    private Optional<Boolean> answerNamed = Optional.empty();
 
     RequestScope(
             GatewayContext context,
@@ -123,6 +129,26 @@
         return sends;
     }
 
+    /** Records the call of an attempt, for the log. */
+    void recordCall(UpstreamCall call) {
+        lastCall = call;
+        answerNamed = Optional.empty();
+    }
+
+    /** Records the head of the answer to the newest call, for the log. */
+    void recordHead(ServerReply reply) {
+        answerNamed = Optional.of(reply.request().isPresent());
+    }
+
+    /** Adds what the connection of the newest call had been used for, and whether its answer named its request. */
+    private void addConnection(List<Field> fields) {
+        if (lastCall != null) {
+            fields.add(Field.of("connection_calls", lastCall.connectionUse().earlierCalls()));
+            fields.add(Field.of("connection_idle_ms", lastCall.connectionUse().idle()));
+            answerNamed.ifPresent(named -> fields.add(Field.of("answer_named", named)));
+        }
+    }
+
     /** Returns the request to send to a server for an attempt. */
     UpstreamRequest upstreamRequest(
             org.mangoridge.core.net.HostPort address, Attempt attempt, Duration maxIdle, Duration connectTimeout) {
@@ -130,7 +156,14 @@
         context.dialect().writeAttempt(headers, attempt);
         ByteBuf body = exchange.request().body();
         return new UpstreamRequest(
-                address, exchange.request().method(), exchange.request().uri(), headers, body, maxIdle, connectTimeout);
+                Optional.of(caller.id()),
+                address,
+                exchange.request().method(),
+                exchange.request().uri(),
+                headers,
+                body,
+                maxIdle,
+                connectTimeout);
     }
 
     /** Refuses the request because it, or a part of its prompt, crashes servers. */
@@ -187,6 +220,7 @@
         if (verdict != Verdict.NOT_RUN) {
             fields.add(Field.of("fingerprint", identity.fingerprint()));
         }
+        addConnection(fields);
         log(LogEvent.ATTEMPT_FAILED, fields.toArray(Field[]::new));
     }
 
@@ -198,6 +232,7 @@
         List<Field> fields = new ArrayList<>(List.of(details));
         fields.add(Field.of("server", server));
         fields.add(Field.of("status", status));
+        addConnection(fields);
         log(LogEvent.REQUEST_ANSWERED, fields.toArray(Field[]::new));
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -70,6 +70,7 @@
                 exchange.scope().caller().tokens().kvTokens(0, exchange.spec().growthPerLoadUpdate());
         byte[] requestBody = context.dialect().writeReservationRequest(headers, server.id(), tokens, duration);
         UpstreamRequest request = new UpstreamRequest(
+                Optional.empty(),
                 server.address(),
                 HttpMethod.POST,
                 context.dialect().reservationPath(),
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -109,8 +110,8 @@
         headers.set(HttpHeaderNames.HOST, address.toString());
         Duration half = timeout.dividedBy(2);
         Duration connectTimeout = half.compareTo(MAX_CONNECT_TIMEOUT) < 0 ? half : MAX_CONNECT_TIMEOUT;
-        UpstreamRequest request =
-                new UpstreamRequest(address, method, target, headers, body, MAX_IDLE_TIME, connectTimeout);
+        UpstreamRequest request = new UpstreamRequest(
+                Optional.empty(), address, method, target, headers, body, MAX_IDLE_TIME, connectTimeout);
         UpstreamCall[] call = new UpstreamCall[1];
         ScheduledFuture<?> timer = loop.schedule(
                 () -> {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamCall.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamCall.java
@@ -37,6 +37,11 @@
         return connection == null ? AttemptProgress.BEFORE_CONNECT : connection.progress();
     }
 
+    /** Returns what the connection of the call had been used for before; that of a new one as long as there is none. */
+    public ConnectionUse connectionUse() {
+        return connection == null ? ConnectionUse.NEW : connection.use();
+    }
+
     CallListener listener() {
         return listener;
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.net;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.core.verdict.AttemptProgress;
@@ -40,6 +42,9 @@
     private boolean requestWritten;
     private Duration announcedIdleTimeout;
     private Duration idleSince = Duration.ZERO;
+    private ConnectionUse use = ConnectionUse.NEW;
+    private Optional<RequestId> requestId = Optional.empty();
+    private int calls;
 
     UpstreamConnection(HostPort address, Clock clock, UpstreamPool pool) {
         this.address = address;
@@ -69,9 +74,19 @@
         progress = AttemptProgress.CONNECTED;
     }
 
+    /** Returns what the connection had been used for when its newest call began. */
+    ConnectionUse use() {
+        return use;
+    }
+
     /** Sends a request; {@code newListener} receives the events of the call. */
     void send(UpstreamRequest request, CallListener newListener) {
         listener = newListener;
+        use = calls == 0
+                ? ConnectionUse.NEW
+                : new ConnectionUse(calls, clock.elapsed().minus(idleSince));
+        calls++;
+        requestId = request.id();
         progress = AttemptProgress.CONNECTED;
         reusable = true;
         skippingResponse = false;
@@ -132,7 +147,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (listener == null) {
-                close();
+                closeForSurplusBytes();
             } else if (message instanceof HttpResponse head) {
                 head(head);
                 if (message instanceof HttpContent content) {
@@ -155,6 +170,7 @@
         if (informationalResponse) {
             return;
         }
+        count(pool.answeredRequest(head));
         skippingResponse = !listener.head(head);
         if (listener == null) {
             return;
@@ -170,6 +186,21 @@
         announcedIdleTimeout = KeepAliveHeader.timeout(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
     }
 
+    private void count(Optional<RequestId> answered) {
+        if (requestId.isPresent() && answered.isEmpty()) {
+            pool.counters().unnamed().inc();
+        } else if (!requestId.equals(answered)) {
+            pool.counters().foreign().inc();
+        }
+    }
+
+    private void closeForSurplusBytes() {
+        if (isOpen()) {
+            pool.counters().surplus().inc();
+        }
+        close();
+    }
+
     private void content(HttpContent content) {
         if (listener == null) {
             return;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -22,7 +24,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
 import jdk.net.ExtendedSocketOptions;
+import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 import org.mangoridge.core.verdict.AttemptProgress;
@@ -49,16 +53,33 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Map<HostPort, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private final Function<HttpResponse, Optional<RequestId>> answeredRequest;
+    private final AnswerCounters counters;
     private long opened;
 
-    private UpstreamPool(EventLoop loop, Clock clock) {
+    private UpstreamPool(
+            EventLoop loop,
+            Clock clock,
+            Function<HttpResponse, Optional<RequestId>> answeredRequest,
+            AnswerCounters counters) {
         this.loop = loop;
         this.clock = clock;
+        this.answeredRequest = answeredRequest;
+        this.counters = counters;
     }
 
-    /** Returns a pool without connections. */
-    public static UpstreamPool create(EventLoop loop, Clock clock) {
-        return new UpstreamPool(loop, clock);
+    /**
+     * Returns a pool without connections.
+     *
+     * @param answeredRequest reads the id of the request that an answer belongs to; empty if it names none
+     * @param registry counts the answers and bytes that belong to no call in progress
+     */
+    public static UpstreamPool create(
+            EventLoop loop,
+            Clock clock,
+            Function<HttpResponse, Optional<RequestId>> answeredRequest,
+            MetricRegistry registry) {
+        return new UpstreamPool(loop, clock, answeredRequest, AnswerCounters.of(registry));
     }
 
     /** Sends a request; {@code listener} receives the events of the call unless it is cancelled. */
@@ -155,6 +176,15 @@
         }
     }
 
+    /** Returns the id of the request that an answer belongs to; empty if it names none. */
+    Optional<RequestId> answeredRequest(HttpResponse head) {
+        return answeredRequest.apply(head);
+    }
+
+    AnswerCounters counters() {
+        return counters;
+    }
+
     private Optional<UpstreamConnection> takeIdle(UpstreamRequest request) {
         Deque<UpstreamConnection> connections = idle.get(request.address());
         if (connections == null) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamRequest.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamRequest.java
@@ -1,17 +1,20 @@
 package org.mangoridge.gateway.net;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.mangoridge.core.Checks;
+import org.mangoridge.core.id.RequestId;
 import org.mangoridge.core.net.HostPort;
 
 /**
  * A request to a server.
  *
+ * @param id the id that the request and its answer bear; empty if the call has none
  * @param address where the server listens
  * @param method the method
  * @param uri the request target as it is sent
@@ -21,6 +24,7 @@
  * @param connectTimeout the time limit for a new connection
  */
 public record UpstreamRequest(
+        Optional<RequestId> id,
         HostPort address,
         HttpMethod method,
         String uri,
@@ -35,10 +39,17 @@
         Checks.notNull(body, "body");
     }
 
-    /** Returns a request without a body. */
+    /** Returns a request without an id and without a body. */
     public static UpstreamRequest withoutBody(
             HostPort address, HttpMethod method, String uri, HttpHeaders headers, Duration connectTimeout) {
         return new UpstreamRequest(
-                address, method, uri, headers, Unpooled.EMPTY_BUFFER, Duration.ofHours(1), connectTimeout);
+                Optional.empty(),
+                address,
+                method,
+                uri,
+                headers,
+                Unpooled.EMPTY_BUFFER,
+                Duration.ofHours(1),
+                connectTimeout);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -112,8 +112,10 @@
         this.shutdownPlan = ShutdownPlan.of(settings.grace());
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
-        this.pool = UpstreamPool.create(loop, clock);
-        this.context = createContext(settings, loop, pool, clock, random, log, dialect);
+        GatewayMetrics requestMetrics = GatewayMetrics.create();
+        this.pool =
+                UpstreamPool.create(loop, clock, head -> dialect.readReply(head).request(), requestMetrics.registry());
+        this.context = createContext(settings, loop, pool, clock, random, requestMetrics, log, dialect);
         LoadTracker loads = context.loads();
         this.router = RequestRouter.create(context);
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
@@ -172,13 +174,13 @@
             UpstreamPool pool,
             Clock clock,
             RandomGenerator random,
+            GatewayMetrics metrics,
             EventSink log,
             WireDialect dialect) {
         ServerDirectory directory = ServerDirectory.create(settings.catchUpTime());
         LoadTracker loads = LoadTracker.create();
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
-        GatewayMetrics metrics = GatewayMetrics.create();
         ServerRateLimiter limiter = ServerRateLimiter.create(settings.instance());
         ServerCalls calls = ServerCalls.create(pool, clock, dialect, limiter, metrics, log);
         RetryBudget budget =
