--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -312,7 +312,11 @@
             placeOrEnqueue();
         } else if (responseStarted) {
             end();
-            scope.log(LogEvent.STREAM_CUT, Field.of("server", server.id()), Field.of("last_event", lastEvent));
+            scope.log(
+                    LogEvent.STREAM_CUT,
+                    Field.of("server", server.id()),
+                    Field.of("cause", detail),
+                    Field.of("last_event", lastEvent));
             context.metrics().count("streams.cut");
             scope.exchange().abort();
         } else if (!refuseIfQuarantined()) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -177,6 +177,7 @@
 
     /** Refuses the request and logs the reason. */
     void refuse(RefusalReason reason, String detail, Optional<Duration> retryAfter, Field... inputs) {
+        boolean begun = exchange.responseStarted();
         Refusal refusal =
                 new Refusal(reason, verdict, detail, verdict == Verdict.NOT_RUN ? retryAfter : Optional.empty());
         HttpResponseStatus status =
@@ -186,6 +187,7 @@
         fields.add(Field.of("reason", reason.code()));
         fields.add(Field.of("verdict", verdict.text()));
         fields.add(Field.of("status", status.code()));
+        fields.add(Field.of("begun", begun));
         fields.add(Field.of("detail", detail));
         refusal.retryAfter().ifPresent(after -> fields.add(Field.of("retry_after_ms", after)));
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
@@ -15,6 +15,9 @@
     /** Returns the request. */
     InboundRequest request();
 
+    /** Returns whether a response has begun, so that no other one can be sent. */
+    boolean responseStarted();
+
     /** Sends a complete response; takes over the reference to {@code body}. */
     void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf body);
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -27,6 +27,7 @@
     private final boolean keepAlive;
     private Runnable disconnectListener = () -> {};
     private Consumer<Boolean> writabilityListener = ignored -> {};
+    private boolean started;
     private boolean ended;
     private boolean closeAfter;
 
@@ -43,6 +44,11 @@
         return request;
     }
 
+    @Override
+    public boolean responseStarted() {
+        return started;
+    }
+
     @Override
     public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
         if (ended) {
@@ -63,6 +69,7 @@
         if (ended) {
             return;
         }
+        started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
