Cut a stream that has begun instead of refusing it within its response

Cause: ModelExchange had several ends, and giveUp() did not look at whether the response had begun. FrontExchange wrote a whole response into the chunked one, the encoder threw, nobody looked at the failed write, and the exchange counted as ended, so that its deadline timer was gone. Now ModelExchange has one end, which refuses or cuts; FrontExchange keeps its state, and a call that would begin a second response, or a body without a head, aborts; a part that can't be written closes the connection, as the response lacks it.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -123,14 +123,18 @@
         }
     }
 
-    /** Refuses the request if a part of its prompt crashes servers; returns whether it was refused. */
+    /** Refuses the request, or cuts its stream, if a part of its prompt crashes servers; returns whether it did so. */
     boolean refuseIfQuarantined() {
         Optional<RequestPart> part = context.crashGuard().find(scope.identity());
-        if (part.isEmpty() || responseStarted) {
+        if (part.isEmpty()) {
             return false;
         }
         abandon();
-        scope.refuseQuarantined(part.get());
+        if (responseStarted) {
+            cutStream("a part of the prompt is quarantined");
+        } else {
+            scope.refuseQuarantined(part.get());
+        }
         return true;
     }
 
@@ -208,7 +212,7 @@
         return context.limiter().limit(ServerRun.of(server)).isPresent();
     }
 
-    /** Refuses the request because its maximum queueing time has passed. */
+    /** Gives the request up because its maximum queueing time has passed. */
     void waitTimedOut() {
         giveUp(
                 RefusalReason.TARGET_UNREACHABLE,
@@ -310,15 +314,6 @@
                 Field.of("parts", scope.caller().sharedParts()));
         if (retrying) {
             placeOrEnqueue();
-        } else if (responseStarted) {
-            end();
-            scope.log(
-                    LogEvent.STREAM_CUT,
-                    Field.of("server", server.id()),
-                    Field.of("cause", detail),
-                    Field.of("last_event", lastEvent));
-            context.metrics().count("streams.cut");
-            scope.exchange().abort();
         } else if (!refuseIfQuarantined()) {
             giveUp(RefusalReason.SERVER_FAILED, "the backend server failed and the request could not be retried");
         }
@@ -409,12 +404,7 @@
             scope.recordOutcome(decode.verdict());
         }
         abandon();
-        if (responseStarted) {
-            scope.log(LogEvent.STREAM_CUT, Field.of("cause", "deadline"), Field.of("last_event", lastEvent));
-            scope.exchange().abort();
-        } else {
-            giveUp(RefusalReason.DEADLINE, "no response before the deadline of the request");
-        }
+        giveUp(RefusalReason.DEADLINE, "no response before the deadline of the request");
     }
 
     private void abandon() {
@@ -436,12 +426,23 @@
         }
     }
 
+    /** Ends a request that cannot be served: refuses it, or cuts its stream if the response has begun. */
     private void giveUp(RefusalReason reason, String detail) {
         end();
+        if (responseStarted) {
+            cutStream(detail);
+            return;
+        }
         Duration after = queue.retryAfterPolicy().recordRefused(scope.remainingTime(), context.random(), context.now());
         scope.refuse(reason, detail, Optional.of(after), Field.of("waiting", queue.size(scope.service())));
     }
 
+    private void cutStream(String cause) {
+        scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", lastEvent));
+        context.metrics().count("streams.cut");
+        scope.exchange().abort();
+    }
+
     private void end() {
         ended = true;
         deadlineTimer.cancel(false);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
@@ -8,7 +8,9 @@
  * One request of a caller and the response to it; confined to the event loop.
  *
  * <p>Either {@link #respond} is called once, or {@link #startResponse}, then {@link #write} any number of times, then
- * {@link #finish} or {@link #abort}. After the caller has disconnected, these methods have no effect.
+ * {@link #finish} or {@link #abort}. A call out of this order aborts a response that has not ended, so that its caller
+ * never receives parts of two responses. After the response has ended or the caller has disconnected, these methods have
+ * no effect.
  */
 public interface CallerExchange {
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -51,8 +52,9 @@
 
     @Override
     public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-        if (ended) {
+        if (ended || started) {
             body.release();
+            abort();
             return;
         }
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -60,20 +62,20 @@
         if (request.method().equals(HttpMethod.HEAD)) {
             body.clear();
         }
-        end(context.writeAndFlush(
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)));
+        end(send(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)));
     }
 
     @Override
     public void startResponse(HttpResponseStatus status, HttpHeaders headers) {
-        if (ended) {
+        if (ended || started) {
+            abort();
             return;
         }
         started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setConnectionHeader(headers);
-        context.writeAndFlush(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+        send(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
@@ -85,17 +87,20 @@
 
     @Override
     public void write(ByteBuf data) {
-        if (ended) {
+        if (ended || !started) {
             data.release();
+            abort();
         } else {
-            context.writeAndFlush(new DefaultHttpContent(data));
+            send(new DefaultHttpContent(data));
         }
     }
 
     @Override
     public void finish() {
-        if (!ended) {
-            end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        if (started && !ended) {
+            end(send(LastHttpContent.EMPTY_LAST_CONTENT));
+        } else {
+            abort();
         }
     }
 
@@ -129,6 +134,11 @@
         writabilityListener.accept(nowWritable);
     }
 
+    /** Sends a part of the response; a part that can't be written closes the connection, as the response lacks it. */
+    private ChannelFuture send(HttpObject part) {
+        return context.writeAndFlush(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
     private void end(ChannelFuture sent) {
         ended = true;
         if (closeAfter) {
--- /dev/null
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -0,0 +1,117 @@
+package org.mangoridge.gateway.net;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.core.time.VirtualClock;
+import org.mangoridge.dispatch.config.CallerLimits;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FrontExchangeTest {
+
+    private static final FrontState SERVING = new FrontState() {
+        @Override
+        public CallerLimits limits() {
+            return CallerLimits.DEFAULT;
+        }
+
+        @Override
+        public boolean draining() {
+            return false;
+        }
+    };
+
+    private static EmbeddedChannel request(RequestHandler handler) {
+        EmbeddedChannel channel = new EmbeddedChannel(
+                new HttpResponseEncoder(),
+                new StrictRequestDecoder(new io.netty.handler.codec.http.HttpDecoderConfig()),
+                new FrontConnection(VirtualClock.create(), SERVING, handler, BodyMemory.of(1000)));
+        channel.writeInbound(bytes("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"));
+        return channel;
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    private static String sent(EmbeddedChannel channel) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            text.append(part.toString(StandardCharsets.US_ASCII));
+            part.release();
+        }
+        return text.toString();
+    }
+
+    private static void respond(CallerExchange exchange) {
+        exchange.respond(HttpResponseStatus.BAD_GATEWAY, new DefaultHttpHeaders(), bytes("refused"));
+    }
+
+    private static void begin(CallerExchange exchange) {
+        exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+    }
+
+    /** A second response within one that had begun was dropped by the encoder, and the connection stayed open. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSecondResponseClosesTheConnectionOfOneThatHasBegun(boolean inParts) {
+        EmbeddedChannel channel = request(exchange -> {
+            begin(exchange);
+            exchange.write(bytes("event"));
+            if (inParts) {
+                begin(exchange);
+            } else {
+                respond(exchange);
+            }
+            exchange.finish();
+        });
+        String sent = sent(channel);
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(sent).startsWith("HTTP/1.1 200 OK");
+        assertThat(sent).endsWith("\r\nevent\r\n");
+    }
+
+    /** Parts of a body without a head are no response. */
+    @Test
+    void aBodyWithoutAHeadClosesTheConnection() {
+        for (Consumer<CallerExchange> call :
+                java.util.List.<Consumer<CallerExchange>>of(each -> each.write(bytes("x")), CallerExchange::finish)) {
+            EmbeddedChannel channel = request(call::accept);
+            assertThat(channel.isOpen()).isFalse();
+            assertThat(sent(channel)).isEmpty();
+        }
+    }
+
+    /** A failed write was not looked at: the response ended as if it were whole, without the part that failed. */
+    @Test
+    void aPartThatCannotBeWrittenClosesTheConnection() {
+        CallerExchange[] exchange = new CallerExchange[1];
+        EmbeddedChannel channel = request(each -> exchange[0] = each);
+        begin(exchange[0]);
+        boolean[] disconnected = new boolean[1];
+        exchange[0].onDisconnect(() -> disconnected[0] = true);
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                io.netty.util.ReferenceCountUtil.release(message);
+                promise.setFailure(new IllegalStateException("not written"));
+            }
+        });
+        exchange[0].write(bytes("event"));
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(disconnected[0]).isTrue();
+    }
+}
