Search the bytes of a stream for the end of an event once

Cause: for each part of a body EventBuffer.add searched all pending bytes again from the first one, which is quadratic up to the bound of 1 MB, on the only event loop.

The search now continues behind the bytes in which no event ends; it steps back by two bytes, because the end of an event is at most three bytes long and may be split between parts.

Evidence: EventBufferTest.bytesWithoutEndOfEventAreSearchedOnce counts how often a byte is looked at (4,096 parts of 64 bytes).

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -53,7 +53,7 @@
     private ScheduledFuture<?> stallTimer;
     private HttpResponse head;
     private ServerReply reply;
-    private final EventBuffer eventBuffer = new EventBuffer();
+    private final EventBuffer eventBuffer = EventBuffer.create();
     private ByteBuf errorBody = Unpooled.EMPTY_BUFFER;
     private Duration started;
     /** When the first event arrived; null before. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -14,9 +14,14 @@
     /** Maximum size of an event; engines never send larger ones. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** Length of the longest end of an event: a line break and an empty line with a carriage return. */
+    private static final int MAX_TERMINATOR_BYTES = 3;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-    private final ByteBuf pending = Unpooled.buffer(512);
+    private final ByteBuf pending;
+    /** Number of pending bytes in which no event ends, so that the search continues behind them. */
+    private int searchedBytes;
 
     /**
      * A complete event.
@@ -26,6 +31,20 @@
      */
     record Event(byte[] bytes, OptionalLong id) {}
 
+    private EventBuffer(ByteBuf pending) {
+        this.pending = pending;
+    }
+
+    /** Returns an empty buffer. */
+    static EventBuffer create() {
+        return over(Unpooled.buffer(512));
+    }
+
+    /** Returns a buffer that keeps the bytes of an incomplete event in {@code pending}. */
+    static EventBuffer over(ByteBuf pending) {
+        return new EventBuffer(pending);
+    }
+
     /** Appends data and returns the events that are now complete. */
     List<Event> add(ByteBuf data) {
         pending.writeBytes(data, data.readerIndex(), data.readableBytes());
@@ -33,6 +52,7 @@
         for (int length = lengthOfNextEvent(); length > 0; length = lengthOfNextEvent()) {
             byte[] bytes = new byte[length];
             pending.readBytes(bytes);
+            searchedBytes = 0;
             events.add(new Event(bytes, idOf(bytes)));
         }
         pending.discardReadBytes();
@@ -52,13 +72,14 @@
     /** Discards the buffered data. */
     void clear() {
         pending.clear();
+        searchedBytes = 0;
     }
 
     /** Returns the length of the next complete event with its blank line; -1 if there is none. */
     private int lengthOfNextEvent() {
         int start = pending.readerIndex();
         int end = pending.writerIndex();
-        for (int at = start; at + 1 < end; at++) {
+        for (int at = start + searchedBytes; at + 1 < end; at++) {
             if (pending.getByte(at) != '\n') {
                 continue;
             }
@@ -69,6 +90,7 @@
                 return at + 3 - start;
             }
         }
+        searchedBytes = Math.max(0, end - start - (MAX_TERMINATOR_BYTES - 1));
         return -1;
     }
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.buffer.UnpooledHeapByteBuf;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -12,7 +14,10 @@
 
 class EventBufferTest {
 
-    private final EventBuffer buffer = new EventBuffer();
+    private static final int PART_BYTES = 64;
+    private static final int MAX_READS_PER_BYTE = 3;
+
+    private final EventBuffer buffer = EventBuffer.create();
 
     private List<EventBuffer.Event> add(String text) {
         return buffer.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -40,4 +45,44 @@
     void returnsEventsWithoutId() {
         assertThat(add("data: x\n\n").get(0).id().isEmpty()).isTrue();
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n\n", "\r\n\r\n"})
+    void findsEndOfEventThatIsSplitAnywhere(String end) {
+        String event = "id: 1\ndata: x" + end;
+        for (int split = 1; split < event.length(); split++) {
+            assertThat(add(event.substring(0, split))).isEmpty();
+            assertThat(add(event.substring(split))).hasSize(1);
+            assertThat(buffer.hasPartial()).isFalse();
+        }
+    }
+
+    /** An answer without the end of an event held the event loop: each part of it was searched from its first byte. */
+    @Test
+    void bytesWithoutEndOfEventAreSearchedOnce() {
+        CountingBuffer pending = new CountingBuffer();
+        EventBuffer counted = EventBuffer.over(pending);
+        int parts = 4096;
+        for (int i = 0; i < parts; i++) {
+            assertThat(counted.add(Unpooled.copiedBuffer("x".repeat(PART_BYTES), StandardCharsets.UTF_8)))
+                    .isEmpty();
+        }
+        assertThat(pending.bytesRead).isAtMost((long) MAX_READS_PER_BYTE * parts * PART_BYTES);
+    }
+
+    /** Counts how often a byte is looked at. */
+    private static final class CountingBuffer extends UnpooledHeapByteBuf {
+
+        private long bytesRead;
+
+        CountingBuffer() {
+            super(UnpooledByteBufAllocator.DEFAULT, 512, Integer.MAX_VALUE);
+        }
+
+        @Override
+        protected byte _getByte(int index) {
+            bytesRead++;
+            return super._getByte(index);
+        }
+    }
 }
