Pass blank lines and comments of a stream on together

Cause: EventBuffer made an event of each blank line, and each was written and flushed to the caller by itself: a read of 64 KB is 32,768 writes to a socket.

Blank lines and comments are no events. They now go with the event that follows them, or together at the end of the data, so that the bytes that reach the caller and their order stay as they were and comments that keep a connection alive are not held back. The search goes line by line and looks at each byte once.

Evidence: EventBufferTest.blankLinesAndCommentsArePassedOnTogether, for four kinds of separators.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -7,26 +7,38 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-
-/** Splits the bytes of a server-sent event stream into complete events, so that callers never receive a partial one. */
+import io.netty.util.ByteProcessor;
+
+/**
+ * Splits the bytes of a server-sent event stream into complete events, so that callers never receive a partial one.
+ *
+ * <p>Blank lines and comments are no events by themselves; they are passed on together, before the next event or at the end
+ * of the data.
+ */
 final class EventBuffer {
 
     /** Maximum size of an event; engines never send larger ones. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
-    /** Length of the longest end of an event: a line break and an empty line with a carriage return. */
-    private static final int MAX_TERMINATOR_BYTES = 3;
+    /** First character of a line that is a comment. */
+    private static final byte COMMENT = ':';
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteBuf pending;
-    /** Number of pending bytes in which no event ends, so that the search continues behind them. */
+    /** Number of pending bytes that were searched for the end of a line. */
     private int searchedBytes;
+    /** Offset in the pending bytes of the line that the search has reached. */
+    private int lineStart;
+    /** Number of pending bytes up to the last blank line before the first field. */
+    private int separatorBytes;
+
+    private boolean hasField;
 
     /**
-     * A complete event.
+     * A complete event, or blank lines and comments that no event follows yet.
      *
-     * @param bytes the bytes of the event, including the terminating blank line
+     * @param bytes the bytes of the event, including the terminating blank line and what precedes the event
      * @param id the numeric event id; empty if the event has none
      */
     record Event(byte[] bytes, OptionalLong id) {}
@@ -50,15 +62,25 @@
         pending.writeBytes(data, data.readerIndex(), data.readableBytes());
         List<Event> events = new ArrayList<>();
         for (int length = lengthOfNextEvent(); length > 0; length = lengthOfNextEvent()) {
-            byte[] bytes = new byte[length];
-            pending.readBytes(bytes);
-            searchedBytes = 0;
-            events.add(new Event(bytes, idOf(bytes)));
+            hasField = false;
+            events.add(take(length));
+        }
+        if (separatorBytes > 0) {
+            events.add(take(separatorBytes));
         }
         pending.discardReadBytes();
         return events;
     }
 
+    private Event take(int length) {
+        byte[] bytes = new byte[length];
+        pending.readBytes(bytes);
+        searchedBytes -= length;
+        lineStart -= length;
+        separatorBytes = 0;
+        return new Event(bytes, idOf(bytes));
+    }
+
     /** Returns whether the buffer contains part of an incomplete event. */
     boolean hasPartial() {
         return pending.isReadable();
@@ -73,27 +95,41 @@
     void clear() {
         pending.clear();
         searchedBytes = 0;
+        lineStart = 0;
+        separatorBytes = 0;
+        hasField = false;
     }
 
-    /** Returns the length of the next complete event with its blank line; -1 if there is none. */
+    /** Continues the search for the next complete event and returns its length with its blank line; -1 if there is none. */
     private int lengthOfNextEvent() {
         int start = pending.readerIndex();
         int end = pending.writerIndex();
-        for (int at = start + searchedBytes; at + 1 < end; at++) {
-            if (pending.getByte(at) != '\n') {
-                continue;
+        int lineEnd = endOfLine(start, end);
+        while (lineEnd >= 0) {
+            boolean blank = isBlank(start + lineStart, lineEnd);
+            hasField |= !blank && pending.getByte(start + lineStart) != COMMENT;
+            searchedBytes = lineEnd + 1 - start;
+            lineStart = searchedBytes;
+            if (blank && hasField) {
+                return searchedBytes;
             }
-            if (pending.getByte(at + 1) == '\n') {
-                return at + 2 - start;
-            }
-            if (at + 2 < end && pending.getByte(at + 1) == '\r' && pending.getByte(at + 2) == '\n') {
-                return at + 3 - start;
+            if (blank) {
+                separatorBytes = searchedBytes;
             }
+            lineEnd = endOfLine(start, end);
         }
-        searchedBytes = Math.max(0, end - start - (MAX_TERMINATOR_BYTES - 1));
+        searchedBytes = end - start;
         return -1;
     }
 
+    private int endOfLine(int start, int end) {
+        return pending.forEachByte(start + searchedBytes, end - start - searchedBytes, ByteProcessor.FIND_LF);
+    }
+
+    private boolean isBlank(int from, int to) {
+        return from == to || from + 1 == to && pending.getByte(from) == '\r';
+    }
+
     private static OptionalLong idOf(byte[] event) {
         int lineStart = 0;
         while (lineStart < event.length) {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
@@ -70,6 +70,25 @@
         assertThat(pending.bytesRead).isAtMost((long) MAX_READS_PER_BYTE * parts * PART_BYTES);
     }
 
+    /** Blank lines without end held the event loop: each was passed on, and written to the caller, by itself. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", ": comment\n\n", "\n: comment\r\n\r\n"})
+    void blankLinesAndCommentsArePassedOnTogether(String separator) {
+        String separators = separator.repeat(1000);
+        List<EventBuffer.Event> events = add(separators + "id: 1\n\n" + separators + "id: 2\nda");
+        assertThat(events).hasSize(2);
+        assertThat(text(events.get(0))).isEqualTo(separators + "id: 1\n\n");
+        assertThat(events.get(0).id().getAsLong()).isEqualTo(1);
+        assertThat(text(events.get(1))).isEqualTo(separators);
+        assertThat(events.get(1).id().isEmpty()).isTrue();
+        assertThat(text(add("ta: x\n\n").get(0))).isEqualTo("id: 2\ndata: x\n\n");
+        assertThat(buffer.hasPartial()).isFalse();
+    }
+
+    private static String text(EventBuffer.Event event) {
+        return new String(event.bytes(), StandardCharsets.UTF_8);
+    }
+
     /** Counts how often a byte is looked at. */
     private static final class CountingBuffer extends UnpooledHeapByteBuf {
 
