Go on with a stream only from an answer that continues it

Where a stream had begun and broke off, callers found text of the next server's answer in the middle of it, or the stream ended as if it were complete: after a signed 200 that is no event stream, an event without an id, a 204, or an answer without length whose connection just closes.

Cause: any signed success counted as the rest of the stream, an event without id was passed on unjudged, and the end of a connection counted as the end of the stream where the stream was resumed. Now StreamPosition says how far the caller has received the stream and whether an event continues it; an answer that goes on must have the status and media type of the one that began the response; without an event it must be framed, and no event may have begun before. What does not continue the stream is a failed attempt: another server, or a visible cut. A stream whose last event has no id is not resumed, as the next server would start anew.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -20,6 +20,7 @@
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.RetryPolicy;
 import org.mangoridge.dispatch.request.ServerReply;
+import org.mangoridge.dispatch.request.StreamPosition;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -87,7 +88,7 @@
         }
         scope.recordSend();
         context.serverHealth().recordSent(server.id());
-        OptionalLong after = exchange.lastEvent();
+        OptionalLong after = exchange.position().lastId();
         Attempt attempt = new Attempt(scope.caller(), server.id(), scope.remainingTime(), work, after);
         restartStallTimer(expectedFirstEvent.plus(STALL_TIMEOUT));
         call = context.calls()
@@ -196,7 +197,7 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (!reply.isVerifiedSuccess()) {
+        if (!isStream()) {
             bufferErrorBody(data);
             return;
         }
@@ -211,16 +212,21 @@
         }
     }
 
+    /** Returns whether the answer is one that begins the response or can go on with it. */
+    private boolean isStream() {
+        return reply.isVerifiedSuccess() && (!resuming || exchange.continuesResponse(head));
+    }
+
     private void forward(EventBuffer.Event event) {
-        OptionalLong last = exchange.lastEvent();
-        boolean numbered = event.id().isPresent() && last.isPresent();
-        if (numbered && event.id().getAsLong() <= last.getAsLong()) {
-            return;
-        }
-        if (numbered && event.id().getAsLong() > last.getAsLong() + 1) {
-            failStream("missing event before id " + event.id().getAsLong());
-            return;
+        StreamPosition.Order order = exchange.position().judge(event.id(), resuming && eventCount == 0);
+        if (order == StreamPosition.Order.NEXT) {
+            deliver(event);
+        } else if (order == StreamPosition.Order.BROKEN) {
+            failStream("an event does not follow the one before");
         }
+    }
+
+    private void deliver(EventBuffer.Event event) {
         if (firstEventAt == null) {
             firstEventAt = context.now();
             onFirstEvent();
@@ -252,12 +258,12 @@
                     .log(
                             LogEvent.STREAM_RESUMED,
                             Field.of("server", server.id()),
-                            Field.of("after", exchange.lastEvent()));
+                            Field.of("after", exchange.position().lastId()));
         } else {
             context.metrics()
                     .recordLatency("latency.first_event", exchange.scope().age());
         }
-        exchange.startResponse(reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()));
+        exchange.startResponse(head);
     }
 
     private void recordSurvival() {
@@ -296,15 +302,15 @@
             return;
         }
         Duration took = context.now().minus(started);
-        if (reply.isVerifiedSuccess()) {
-            if (eventBuffer.hasPartial() || endsBeforeFirstEvent()) {
+        if (isStream()) {
+            if (eventBuffer.hasPartial() || endsBeforeNextEvent()) {
                 recordBreak();
                 fail(Verdict.RAN, "stream ended before or within an event");
                 return;
             }
             context.serverHealth().recordAnswer(server, false, took, context.now());
             recordSurvival();
-            exchange.startResponse(reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()));
+            exchange.startResponse(head);
             release();
             exchange.completed(server, reply.status());
         } else if (reply.didNotRun()) {
@@ -314,10 +320,13 @@
         }
     }
 
-    /** Returns whether only the end of the connection says that the stream is complete, and no event came before it. */
-    private boolean endsBeforeFirstEvent() {
+    /**
+     * Returns whether no event came though one is known to follow, or though only the end of the connection says that the
+     * stream is complete.
+     */
+    private boolean endsBeforeNextEvent() {
         boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        return !framed && eventCount == 0 && !resuming;
+        return eventCount == 0 && (!framed || resuming && exchange.position().expectsMore());
     }
 
     private void onRejection() {
@@ -369,6 +378,9 @@
     }
 
     private void fail(Verdict verdict, String detail) {
+        if (eventBuffer.hasPartial()) {
+            exchange.position().recordBegunEvent();
+        }
         release();
         exchange.decodeFailed(server, verdict, false, detail);
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -3,13 +3,15 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -26,6 +28,7 @@
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.RetryPolicy;
+import org.mangoridge.dispatch.request.StreamPosition;
 
 /**
  * Serves one model request: places it, runs prefill and decode, and forwards the events to the caller.
@@ -54,9 +57,11 @@
     private DecodeStep decode;
     private ReservationStep reservation;
     private ScheduledFuture<?> deadlineTimer;
-    private boolean responseStarted;
+    private final StreamPosition position;
+    /** The head of the first server's answer, with which the response began; null before. */
+    private HttpResponse firstHead;
+
     private boolean ended;
-    private OptionalLong lastEvent;
     private int eventsDelivered;
 
     ModelExchange(GatewayContext context, RequestScope scope, EngineSpec spec, ModelQueue queue) {
@@ -65,7 +70,7 @@
         this.spec = spec;
         this.queue = queue;
         this.queueDeadlines = QueueDeadlines.of(scope.route(), scope.arrived(), scope.deadline());
-        this.lastEvent = scope.caller().resumeAfter();
+        this.position = StreamPosition.after(scope.caller().resumeAfter());
     }
 
     void start() {
@@ -87,8 +92,8 @@
         return spec;
     }
 
-    OptionalLong lastEvent() {
-        return lastEvent;
+    StreamPosition position() {
+        return position;
     }
 
     boolean ended() {
@@ -96,7 +101,13 @@
     }
 
     boolean responseStarted() {
-        return responseStarted;
+        return firstHead != null;
+    }
+
+    /** Returns whether an answer can go on with the response: it is of the same kind as the one that began it. */
+    boolean continuesResponse(HttpResponse head) {
+        return head.status().equals(firstHead.status())
+                && Objects.equals(HttpUtil.getMimeType(head), HttpUtil.getMimeType(firstHead));
     }
 
     private void placeOrEnqueue() {
@@ -130,7 +141,7 @@
             return false;
         }
         abandon();
-        if (responseStarted) {
+        if (responseStarted()) {
             cutStream("a part of the prompt is quarantined");
         } else {
             scope.refuseQuarantined(part.get());
@@ -310,7 +321,7 @@
                 server.id(),
                 detail,
                 Field.of("repeated", retrying),
-                Field.of("delivered", responseStarted),
+                Field.of("delivered", responseStarted()),
                 Field.of("parts", scope.caller().sharedParts()));
         if (retrying) {
             placeOrEnqueue();
@@ -323,7 +334,7 @@
     private boolean acquireRetry(Verdict verdict) {
         if (context.crashGuard().find(scope.identity()).isPresent()
                 || context.crashGuard().implicates(scope.identity())
-                || responseStarted && scope.route().repeat() != RetryPolicy.RESUMABLE) {
+                || responseStarted() && (scope.route().repeat() != RetryPolicy.RESUMABLE || !position.canResume())) {
             return false;
         }
         return RetryDecision.mayRetry(
@@ -336,18 +347,19 @@
     }
 
     /** Forwards the status and headers of the first server; those of a server that resumes the stream are dropped. */
-    void startResponse(int status, HttpHeaders headers) {
-        if (!responseStarted) {
-            responseStarted = true;
-            scope.exchange().startResponse(HttpResponseStatus.valueOf(status), headers);
+    void startResponse(HttpResponse head) {
+        if (!responseStarted()) {
+            firstHead = head;
+            scope.exchange()
+                    .startResponse(
+                            HttpResponseStatus.valueOf(head.status().code()),
+                            ForwardHeaders.ofResponse(head.headers(), context.dialect()));
         }
     }
 
     /** Forwards an event to the caller. */
     void forwardEvent(EventBuffer.Event event) {
-        if (event.id().isPresent()) {
-            lastEvent = event.id();
-        }
+        position.recordDelivered(event.id());
         eventsDelivered++;
         scope.exchange().write(Unpooled.wrappedBuffer(event.bytes()));
     }
@@ -391,7 +403,10 @@
     }
 
     private void callerDisconnected() {
-        scope.log(LogEvent.CALLER_GONE, Field.of("delivered", responseStarted), Field.of("last_event", lastEvent));
+        scope.log(
+                LogEvent.CALLER_GONE,
+                Field.of("delivered", responseStarted()),
+                Field.of("last_event", position.lastId()));
         context.metrics().count("callers.gone");
         abandon();
     }
@@ -429,7 +444,7 @@
     /** Ends a request that cannot be served: refuses it, or cuts its stream if the response has begun. */
     private void giveUp(RefusalReason reason, String detail) {
         end();
-        if (responseStarted) {
+        if (responseStarted()) {
             cutStream(detail);
             return;
         }
@@ -438,7 +453,7 @@
     }
 
     private void cutStream(String cause) {
-        scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", lastEvent));
+        scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", position.lastId()));
         context.metrics().count("streams.cut");
         scope.exchange().abort();
     }
