Accept event ids that rise by more than one

Callers saw a sound stream end before it was complete: PROTOCOL.md promises increasing ids, and DecodeStep took each step of more than one for a missing event and cut the stream.

Within the answer of one server nothing can be missing, whatever its ids. A piece can only be missing where another server goes on, and can be judged only against what is known: the first event there may be no further ahead than two successive events of this stream have been before (by one if fewer than two are known). A stream with uneven steps could still lose a piece of that size if a server skipped one on its own; ids can't show it.

Evidence: StartedStreamTest.aStreamWhoseIdsRiseByMoreThanOneIsWhole on the code before: both routes "IO chunked transfer encoding, state: READING_LENGTH". After: green; StreamPositionTest has the cases of both rules.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/StreamPosition.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/StreamPosition.java
@@ -4,10 +4,14 @@
 
 /**
  * How far a caller has received an event stream, and whether the events of a server continue it; confined to one thread.
+ *
+ * <p>Event ids increase, not necessarily by one. Within the answer of one server nothing can be missing; where another
+ * server goes on, its first event may be no further ahead than two successive events of the stream have been before.
  */
 public final class StreamPosition {
 
     private OptionalLong lastId;
+    private long largestStep = 1;
     private boolean delivered;
     private boolean lastHasId;
     private boolean eventBegun;
@@ -48,12 +52,15 @@
         if (step == 0 || step < 0 && !delivered) {
             return Order.REPEATED;
         }
-        return step == 1 ? Order.NEXT : Order.BROKEN;
+        return step < 0 || resuming && step > largestStep ? Order.BROKEN : Order.NEXT;
     }
 
     /** Records that the caller was sent an event. */
     public void recordDelivered(OptionalLong id) {
         if (id.isPresent()) {
+            if (delivered && lastId.isPresent()) {
+                largestStep = Math.max(largestStep, id.getAsLong() - lastId.getAsLong());
+            }
             lastId = id;
         }
         delivered = true;
