Bound a stream by what its request allows

What callers saw: a server that went over into events, comments or blank lines without end was followed to the deadline of the request, and the instance worked for this one stream alone for that time. One event is bounded (1 MB), a stream was not.

StreamAllowance derives a bound of events and of bytes from the maximum output tokens of the request, or from the memory of a server if the request states none; both are far above what sound servers write. EventBuffer passes on no event beyond it, and the attempt fails as it does for an event that is too large: a resumable stream continues elsewhere, any other is cut.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -20,7 +20,9 @@
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.RetryPolicy;
 import org.mangoridge.dispatch.request.ServerReply;
+import org.mangoridge.dispatch.request.StreamAllowance;
 import org.mangoridge.dispatch.request.StreamPosition;
+import org.mangoridge.dispatch.request.TokenDemand;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -54,7 +56,7 @@
     private ScheduledFuture<?> stallTimer;
     private HttpResponse head;
     private ServerReply reply;
-    private final EventBuffer eventBuffer = EventBuffer.create();
+    private final EventBuffer eventBuffer;
     private ByteBuf errorBody = Unpooled.EMPTY_BUFFER;
     private Duration started;
     /** When the first event arrived; null before. */
@@ -72,7 +74,9 @@
         this.server = permit.server();
         this.permit = permit;
         this.expectedFirstEvent = expectedFirstEvent;
-        this.load = ServerLoad.ofDecode(exchange.scope().caller().tokens(), exchange.spec(), 0);
+        TokenDemand tokens = exchange.scope().caller().tokens();
+        this.eventBuffer = EventBuffer.of(StreamAllowance.of(tokens, exchange.spec()));
+        this.load = ServerLoad.ofDecode(tokens, exchange.spec(), 0);
         context.loads().add(server.id(), load);
     }
 
@@ -207,9 +211,7 @@
                 return;
             }
         }
-        if (eventBuffer.overflows()) {
-            failStream("event exceeds the maximum size");
-        }
+        eventBuffer.exceededBound().ifPresent(this::failStream);
     }
 
     /** Returns whether the answer is one that begins the response or can go on with it. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -3,11 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.util.ByteProcessor;
+import org.mangoridge.dispatch.request.StreamAllowance;
 
 /**
  * Splits the bytes of a server-sent event stream into complete events, so that callers never receive a partial one.
@@ -26,6 +28,10 @@
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteBuf pending;
+    private final StreamAllowance allowance;
+    private long eventCount;
+    private long byteCount;
+    private boolean hasExcessEvent;
     /** Number of pending bytes that were searched for the end of a line. */
     private int searchedBytes;
     /** Offset in the pending bytes of the line that the search has reached. */
@@ -43,29 +49,34 @@
      */
     record Event(byte[] bytes, OptionalLong id) {}
 
-    private EventBuffer(ByteBuf pending) {
+    private EventBuffer(ByteBuf pending, StreamAllowance allowance) {
         this.pending = pending;
+        this.allowance = allowance;
     }
 
-    /** Returns an empty buffer. */
-    static EventBuffer create() {
-        return over(Unpooled.buffer(512));
+    /** Returns an empty buffer for a stream that may consist of {@code allowance}. */
+    static EventBuffer of(StreamAllowance allowance) {
+        return over(Unpooled.buffer(512), allowance);
     }
 
     /** Returns a buffer that keeps the bytes of an incomplete event in {@code pending}. */
-    static EventBuffer over(ByteBuf pending) {
-        return new EventBuffer(pending);
+    static EventBuffer over(ByteBuf pending, StreamAllowance allowance) {
+        return new EventBuffer(pending, allowance);
     }
 
-    /** Appends data and returns the events that are now complete. */
+    /** Appends data and returns the events that are now complete, up to the allowance of the stream. */
     List<Event> add(ByteBuf data) {
+        byteCount += data.readableBytes();
         pending.writeBytes(data, data.readerIndex(), data.readableBytes());
         List<Event> events = new ArrayList<>();
-        for (int length = lengthOfNextEvent(); length > 0; length = lengthOfNextEvent()) {
+        int length = lengthOfNextEvent();
+        while (length > 0 && eventCount < allowance.events()) {
             hasField = false;
             events.add(take(length));
+            length = lengthOfNextEvent();
         }
-        if (separatorBytes > 0) {
+        hasExcessEvent = length > 0;
+        if (separatorBytes > 0 && eventCount < allowance.events()) {
             events.add(take(separatorBytes));
         }
         pending.discardReadBytes();
@@ -78,6 +89,7 @@
         searchedBytes -= length;
         lineStart -= length;
         separatorBytes = 0;
+        eventCount++;
         return new Event(bytes, idOf(bytes));
     }
 
@@ -86,9 +98,13 @@
         return pending.isReadable();
     }
 
-    /** Returns whether the incomplete event exceeds {@link #MAX_EVENT_BYTES}. */
-    boolean overflows() {
-        return pending.readableBytes() > MAX_EVENT_BYTES;
+    /** Returns which bound the stream exceeds; empty if it keeps them. */
+    Optional<String> exceededBound() {
+        if (pending.readableBytes() > MAX_EVENT_BYTES) {
+            return Optional.of("event exceeds the maximum size");
+        }
+        boolean allowed = !hasExcessEvent && byteCount <= allowance.bytes();
+        return allowed ? Optional.empty() : Optional.of("stream exceeds what its request allows: " + allowance);
     }
 
     /** Discards the buffered data. */
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.dispatch.request.StreamAllowance;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -17,7 +18,9 @@
     private static final int PART_BYTES = 64;
     private static final int MAX_READS_PER_BYTE = 3;
 
-    private final EventBuffer buffer = EventBuffer.create();
+    private static final StreamAllowance ALLOWANCE = new StreamAllowance(100, 1 << 19);
+
+    private final EventBuffer buffer = EventBuffer.of(ALLOWANCE);
 
     private List<EventBuffer.Event> add(String text) {
         return buffer.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -61,7 +64,7 @@
     @Test
     void bytesWithoutEndOfEventAreSearchedOnce() {
         CountingBuffer pending = new CountingBuffer();
-        EventBuffer counted = EventBuffer.over(pending);
+        EventBuffer counted = EventBuffer.over(pending, ALLOWANCE);
         int parts = 4096;
         for (int i = 0; i < parts; i++) {
             assertThat(counted.add(Unpooled.copiedBuffer("x".repeat(PART_BYTES), StandardCharsets.UTF_8)))
@@ -89,6 +92,22 @@
         return new String(event.bytes(), StandardCharsets.UTF_8);
     }
 
+    @Test
+    void returnsNoMoreEventsThanAllowed() {
+        assertThat(add("data: x\n\n".repeat(100))).hasSize(100);
+        assertThat(buffer.exceededBound().isEmpty()).isTrue();
+        assertThat(add("data: x\n\n".repeat(1000))).isEmpty();
+        assertThat(buffer.exceededBound().isPresent()).isTrue();
+    }
+
+    @Test
+    void countsBytesOfBlankLines() {
+        add("\n".repeat(1 << 19));
+        assertThat(buffer.exceededBound().isEmpty()).isTrue();
+        add("\n");
+        assertThat(buffer.exceededBound().isPresent()).isTrue();
+    }
+
     /** Counts how often a byte is looked at. */
     private static final class CountingBuffer extends UnpooledHeapByteBuf {
 
