Send nothing to a server for the time that its 503 names

Cause: nothing read Retry-After of servers.

The pause belongs where calls are permitted: ServerRateLimiter.permits, which the balancers and ServerCalls.tryAcquire ask. It covers every kind of call, is tied to the server's run and holds for this instance. Permits that a model request took when it was placed are checked again before the prefill and before the decode. If all servers are paused, requests are refused at once and told when the first pause ends.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -69,6 +69,10 @@
     SERVER_LIMIT_CHANGED(312, Level.INFO, "server limit changed"),
     /** A backend server announces a limit that is no rate; it is ignored. */
     SERVER_LIMIT_UNREADABLE(313, Level.WARNING, "server limit unreadable"),
+    /** A backend server rejected a request and asked this instance for a pause. */
+    SERVER_PAUSED(314, Level.INFO, "server paused"),
+    /** A backend server asks for a pause that is no number of seconds, or too long. */
+    SERVER_PAUSE_INVALID(315, Level.WARNING, "server pause invalid"),
     /** A configuration was adopted. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerRateLimiter.java
@@ -43,6 +43,7 @@
     private static final Duration MAX_RETURN_TIME = Duration.ofSeconds(10);
 
     private final AnnouncedLimits limits = new AnnouncedLimits();
+    private final ServerPauses pauses = new ServerPauses();
     private final FleetDemand demand;
     private final Map<ServerRun, Bucket> buckets = new HashMap<>();
     /** The time up to which what a service may be sent is promised to refused callers. */
@@ -204,8 +205,35 @@
                         limits.status(run, now).orElseThrow().silence()));
     }
 
+    /**
+     * Records that a server asked for a pause; returns whether it was not paused before.
+     *
+     * @param pause its length; a longer one than {@link #maxPause} counts as that
+     */
+    public boolean recordPause(ServerEntry server, Duration pause, Duration now) {
+        return pauses.record(server, pause, now);
+    }
+
+    /** Returns the longest pause that a server gets. */
+    public static Duration maxPause() {
+        return ServerPauses.MAX_PAUSE;
+    }
+
+    /** Tells whether a server has asked for a pause that has not ended. */
+    public boolean isPaused(ServerEntry server, Duration now) {
+        return pauses.isPaused(server, now);
+    }
+
+    /** Returns after what time the first pause of the servers ends; empty if not all of them are paused. */
+    public Optional<Duration> firstPauseEnd(Collection<ServerEntry> servers, Duration now) {
+        return pauses.firstEnd(servers, now);
+    }
+
     /** Tells whether a request may be sent to a server now. */
     public boolean permits(ServerEntry server, Duration now) {
+        if (pauses.isPaused(server, now)) {
+            return false;
+        }
         Optional<RateLimit> limit = limits.isEmpty() ? Optional.empty() : limits.limit(ServerRun.of(server));
         return limit.isEmpty() || bucket(server, limit.get(), now).tokens >= 1;
     }
@@ -246,10 +274,15 @@
 
     /**
      * Returns after what time a caller may return whom no server of a service can be sent now; each gets a time of its
-     * own, at which this instance has the next permission.
+     * own, at which this instance has the next permission, or the time at which the first pause ends.
      */
     public Duration nextReturn(ServiceId service, Collection<ServerEntry> servers, Duration now) {
+        Optional<Duration> pauseEnd = pauses.firstEnd(servers, now);
+        if (pauseEnd.isPresent()) {
+            return pauseEnd.get();
+        }
         double rate = servers.stream()
+                .filter(server -> !pauses.isPaused(server, now))
                 .flatMap(server -> share(server, now).stream())
                 .mapToDouble(Share::requestsPerSecond)
                 .sum();
@@ -270,5 +303,6 @@
     public void retain(Set<ServerRun> listed, Duration now) {
         limits.retain(listed, now);
         buckets.keySet().retainAll(listed);
+        pauses.retain(listed);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -80,6 +80,10 @@
         context.loads().add(server.id(), load);
     }
 
+    ServerEntry server() {
+        return server;
+    }
+
     /** Sends the request to the server. */
     void start(AttemptWork newWork) {
         RequestScope scope = exchange.scope();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -24,6 +24,7 @@
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
+import org.mangoridge.dispatch.directory.ServerStage;
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
@@ -111,7 +112,7 @@
     }
 
     private void placeOrEnqueue() {
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || refuseIfAllPaused()) {
             return;
         }
         if (scope.caller().tokens().prompt() >= spec.kvCapacity()) {
@@ -149,6 +150,25 @@
         return true;
     }
 
+    /** Refuses the request if no server that could decode it takes anything now; returns whether it was refused. */
+    boolean refuseIfAllPaused() {
+        List<ServerEntry> decodeServers = servers().stream()
+                .filter(server -> server.stage() != ServerStage.PREFILL)
+                .toList();
+        Optional<Duration> pauseEnd = context.limiter().firstPauseEnd(decodeServers, context.now());
+        if (pauseEnd.isEmpty() || responseStarted()) {
+            return false;
+        }
+        abandon();
+        Duration spread =
+                queue.retryAfterPolicy().recordRefused(scope.remainingTime(), context.random(), context.now());
+        scope.refuse(
+                RefusalReason.NO_CAPACITY,
+                "all backend servers of the service have asked for a pause; retry later",
+                Optional.of(pauseEnd.get().plus(spread)));
+        return true;
+    }
+
     private List<ServerEntry> servers() {
         return context.directory().usable(scope.service());
     }
@@ -232,7 +252,13 @@
 
     /** Starts the prefill after the decode server granted the reservation or turned out not to support reservations. */
     void reservationAccepted() {
-        if (!refuseIfQuarantined()) {
+        if (refuseIfQuarantined()) {
+            return;
+        }
+        if (context.calls().isPaused(prefill.server())) {
+            releaseReservation();
+            reservationRejected();
+        } else {
             prefill.start();
         }
     }
@@ -258,10 +284,28 @@
         if (refuseIfQuarantined()) {
             return;
         }
+        if (context.calls().isPaused(decode.server())) {
+            decodeWithheld();
+            return;
+        }
         Optional<String> reserved = reservation == null ? Optional.empty() : reservation.use();
         decode.start(prefill.decodeWork(reserved));
     }
 
+    /** Decodes at another server, since the one that was chosen has asked for a pause during the prefill. */
+    private void decodeWithheld() {
+        ServerEntry server = decode.server();
+        String detail = "the server has asked for a pause";
+        releaseReservation();
+        decode.release();
+        decode = null;
+        if (!decodeOnAnotherServer(server, detail)) {
+            prefill.abandon();
+            prefill = null;
+            retryOrGiveUp(server, Verdict.NOT_RUN, detail);
+        }
+    }
+
     /** Retries the request after its prefill failed; the decode server has not executed anything. */
     void prefillFailed(ServerEntry server, String detail) {
         excludedServers.add(server.id());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -79,7 +79,7 @@
         Duration now = context.now();
         queue.expire(now).forEach(waiter -> waiter.item().waitTimedOut());
         for (Waiter<ModelExchange> waiter : queue.inPlacementOrder(now)) {
-            if (waiter.item().refuseIfQuarantined()) {
+            if (waiter.item().refuseIfQuarantined() || waiter.item().refuseIfAllPaused()) {
                 continue;
             }
             Optional<EnginePlacement> placement = waiter.item().findPlacement();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -143,7 +143,7 @@
                         context.plainBalancer().occupancy(context.directory().usable(scope.service()))));
     }
 
-    /** Returns when the caller may return: soon, or when this instance may send a server that is at its limit more. */
+    /** Returns when the caller may return: soon, or when this instance may send to a server that takes nothing now. */
     private Duration returnTime() {
         Duration soon = MIN_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_AFTER_JITTER_MILLIS));
         List<ServerEntry> servers = context.directory().usable(scope.service());
@@ -153,6 +153,9 @@
             return soon;
         }
         Duration next = context.limiter().nextReturn(scope.service(), servers, context.now());
+        if (context.limiter().firstPauseEnd(servers, context.now()).isPresent()) {
+            return next.plus(soon);
+        }
         return next.compareTo(soon) > 0 ? next : soon;
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -189,6 +189,7 @@
         fields.add(Field.of("status", status.code()));
         fields.add(Field.of("begun", begun));
         fields.add(Field.of("detail", detail));
+        fields.addAll(context.calls().limitFields(List.of(), context.directory().usable(service)));
         refusal.retryAfter().ifPresent(after -> fields.add(Field.of("retry_after_ms", after)));
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -80,7 +80,7 @@
         return new SendPermit(server, kind);
     }
 
-    /** Returns the permit for a call to a server; empty if its limit does not allow one now. */
+    /** Returns the permit for a call to a server; empty if its limit does not allow one now, or it is paused. */
     public Optional<SendPermit> tryAcquire(ServerEntry server, CallKind kind) {
         if (!limiter.permits(server, clock.elapsed())) {
             metrics.count("sends.withheld");
@@ -89,6 +89,11 @@
         return Optional.of(acquire(server, kind));
     }
 
+    /** Tells whether a server has asked for a pause, so that a permit from before must not be used. */
+    boolean isPaused(ServerEntry server) {
+        return limiter.isPaused(server, clock.elapsed());
+    }
+
     /** Gives back a permit without which no call was made. */
     void giveBack(SendPermit permit) {
         limiter.giveBack(permit.server());
@@ -119,17 +124,22 @@
                 Field.of("told_by", toldBy));
     }
 
-    /** Returns fields that tell how the limits of servers bear on the choice of one; none if there are no limits. */
+    /** Returns fields that tell how the limits and pauses of servers bear on the choice of one; none if they don't. */
     List<Field> limitFields(List<ServerEntry> chosen, List<ServerEntry> servers) {
-        if (!limiter.knowsLimits()) {
-            return List.of();
-        }
         Duration now = clock.elapsed();
         List<Field> fields = new ArrayList<>();
+        long paused =
+                servers.stream().filter(server -> limiter.isPaused(server, now)).count();
+        if (paused > 0) {
+            fields.add(Field.of("paused", paused));
+        }
+        if (!limiter.knowsLimits()) {
+            return fields;
+        }
         long withheld =
                 servers.stream().filter(server -> !limiter.permits(server, now)).count();
-        if (withheld > 0) {
-            fields.add(Field.of("at_limit", withheld));
+        if (withheld > paused) {
+            fields.add(Field.of("at_limit", withheld - paused));
         }
         chosen.stream()
                 .filter(server -> limiter.share(server, now).isPresent())
@@ -177,7 +187,39 @@
         @Override
         public boolean head(HttpResponse response) {
             readLimit(response);
-            return listener.head(response);
+            boolean accepted = listener.head(response);
+            if (accepted) {
+                readPause(response);
+            }
+            return accepted;
+        }
+
+        private void readPause(HttpResponse response) {
+            Result<Optional<Duration>, String> requested = dialect.readRequestedPause(response);
+            if (!requested.isOk()) {
+                logInvalidPause(requested.error());
+                return;
+            }
+            requested.value().ifPresent(pause -> {
+                if (limiter.recordPause(permit.server(), pause, clock.elapsed())) {
+                    metrics.count("pauses.asked");
+                    log.log(
+                            LogEvent.SERVER_PAUSED,
+                            Field.of("server", permit.server().id()),
+                            Field.of("for_ms", pause));
+                    if (pause.compareTo(ServerRateLimiter.maxPause()) > 0) {
+                        logInvalidPause("the pause is longer than " + ServerRateLimiter.maxPause());
+                    }
+                }
+            });
+        }
+
+        private void logInvalidPause(String detail) {
+            metrics.count("pauses.invalid");
+            log.log(
+                    LogEvent.SERVER_PAUSE_INVALID,
+                    Field.of("server", permit.server().id()),
+                    Field.of("detail", detail));
         }
 
         private void readLimit(HttpResponse response) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
@@ -43,6 +43,13 @@
      */
     Result<Optional<RateLimit>, String> readAnnouncedLimit(HttpHeaders headers);
 
+    /**
+     * Reads for how long a server that answers 503 wants no requests; empty if it does not say so.
+     *
+     * <p>The error is one sentence for the log.
+     */
+    Result<Optional<Duration>, String> readRequestedPause(HttpResponse head);
+
     /** Reads the body of a prefill server's response; empty if the body is malformed. */
     Optional<PrefillResponse> readPrefillResponse(byte[] body);
 
