Attribute an answer without an id only on a connection that carried no other call

Callers saw a success where their server had answered with an error, the stream of another request, and refusals "not run" of requests that ran; others were run a second time.

Cause: an answer was matched by its position. Each listener dropped answers that name another request, but took any answer that names none for the answer to the call in progress, also on a connection that had carried other calls. A copy of an earlier answer, late and without an id, was the answer of the next request: for plain requests, prefills and whole streams, and with status 421 as a statement that the request was not run.

The connection now decides, for all calls alike. An answer that names no request fails a call that has one as "may have run", unless the connection has carried no other call, where no earlier answer exists that it could be a copy of. An answer that names a request is no answer to a call without one, which JSON calls and releases did not check.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
@@ -49,7 +49,7 @@
      * Returns whether the server certainly did not execute the request.
      *
      * <p>A statement that does not name the request may be a late copy of the answer to another call. Status 421 can't be
-     * one: a call to a server that is not there any more has no earlier answers.
+     * one: without the name of the request it is only accepted on a connection that carried no other call.
      */
     public boolean didNotRun() {
         return (notRun && request.isPresent()) || misdirected;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -190,17 +190,15 @@
     }
 
     @Override
-    public boolean head(HttpResponse response) {
-        ServerReply read = context.dialect().readReply(response);
-        if (read.request().isPresent()
-                && !read.request().get().equals(exchange.scope().caller().id())) {
-            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
-            return false;
-        }
+    public void foreignAnswerDropped() {
+        exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+    }
+
+    @Override
+    public void head(HttpResponse response) {
         head = response;
-        reply = read;
+        reply = context.dialect().readReply(response);
         exchange.scope().recordHead(reply);
-        return true;
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -292,17 +292,15 @@
         }
 
         @Override
-        public boolean head(HttpResponse response) {
-            ServerReply read = context.dialect().readReply(response);
-            if (read.request().isPresent()
-                    && !read.request().get().equals(scope.caller().id())) {
-                scope.log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
-                return false;
-            }
+        public void foreignAnswerDropped() {
+            scope.log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+        }
+
+        @Override
+        public void head(HttpResponse response) {
             head = response;
-            reply = read;
+            reply = context.dialect().readReply(response);
             scope.recordHead(reply);
-            return true;
         }
 
         @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -154,16 +154,14 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
-        ServerReply response = context.dialect().readReply(head);
-        if (response.request().isPresent()
-                && !response.request().get().equals(exchange.scope().caller().id())) {
-            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
-            return false;
-        }
-        reply = response;
+    public void foreignAnswerDropped() {
+        exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+        reply = context.dialect().readReply(head);
         exchange.scope().recordHead(reply);
-        return true;
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReleaseListener.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReleaseListener.java
@@ -31,8 +31,8 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
-        return true;
+    public void head(HttpResponse head) {
+        // The status is not needed.
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -116,15 +116,13 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
-        ServerReply read = context.dialect().readReply(head);
-        if (read.request().isPresent()) {
-            // The call has no id of a request, so this is a late copy of the answer to an earlier one.
-            exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
-            return false;
-        }
-        reply = read;
-        return true;
+    public void foreignAnswerDropped() {
+        exchange.scope().log(LogEvent.STALE_ANSWER_DROPPED, Field.of("server", server.id()));
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+        reply = context.dialect().readReply(head);
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -185,13 +185,15 @@
         }
 
         @Override
-        public boolean head(HttpResponse response) {
+        public void foreignAnswerDropped() {
+            listener.foreignAnswerDropped();
+        }
+
+        @Override
+        public void head(HttpResponse response) {
             readLimit(response);
-            boolean accepted = listener.head(response);
-            if (accepted) {
-                readPause(response);
-            }
-            return accepted;
+            readPause(response);
+            listener.head(response);
         }
 
         private void readPause(HttpResponse response) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
@@ -44,10 +44,9 @@
     }
 
     @Override
-    public boolean head(HttpResponse head) {
+    public void head(HttpResponse head) {
         status = head.status().code();
         headers = head.headers();
-        return true;
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallListener.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallListener.java
@@ -9,8 +9,11 @@
     /** Called when a connection is established and the request is written next. */
     default void connected() {}
 
-    /** Called with the response head; returns false if the response belongs to another request and is to be skipped. */
-    boolean head(HttpResponse head);
+    /** Called if a response that names another request was dropped; the response to the call may follow. */
+    default void foreignAnswerDropped() {}
+
+    /** Called with the head of the response, which names the request of the call or none. */
+    void head(HttpResponse head);
 
     /** Called with a part of the response body; {@code data} is valid during this method call only. */
     void data(ByteBuf data);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -25,6 +25,9 @@
 /**
  * One connection to a server, which carries one call at a time.
  *
+ * <p>An answer that names another request than the call is dropped. One that names none fails a call that has an id,
+ * unless it is the first on the connection: otherwise it may be a copy of the answer to an earlier call.
+ *
  * <p>It is reused only if the response was complete, belonged to the request and left no data behind. Data that arrives
  * while no call is in progress closes the connection.
  */
@@ -170,30 +173,29 @@
         if (informationalResponse) {
             return;
         }
-        count(pool.answeredRequest(head));
-        skippingResponse = !listener.head(head);
-        if (listener == null) {
-            return;
+        Optional<RequestId> answered = pool.answeredRequest(head);
+        if (requestId.isPresent() && answered.isEmpty()) {
+            pool.counters().unnamed().inc();
+            if (calls > 1) {
+                fail(new CallFailure(progress, false, "response names no request"));
+                return;
+            }
         }
+        skippingResponse = answered.isPresent() && !answered.equals(requestId);
         if (skippingResponse) {
+            pool.counters().foreign().inc();
             reusable = false;
+            listener.foreignAnswerDropped();
             return;
         }
         progress = AttemptProgress.ANSWER_PARTLY_RECEIVED;
+        listener.head(head);
         boolean hasFramedBody = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         boolean bodiless = head.status().code() == 204 || head.status().code() == 304;
         reusable &= HttpUtil.isKeepAlive(head) && (hasFramedBody || bodiless);
         announcedIdleTimeout = KeepAliveHeader.timeout(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
     }
 
-    private void count(Optional<RequestId> answered) {
-        if (requestId.isPresent() && answered.isEmpty()) {
-            pool.counters().unnamed().inc();
-        } else if (!requestId.equals(answered)) {
-            pool.counters().foreign().inc();
-        }
-    }
-
     private void closeForSurplusBytes() {
         if (isOpen()) {
             pool.counters().surplus().inc();
