Resume a stream that broke off after comments or blank lines

Where servers send comments between events, callers saw a resumable stream cut that another server could have continued. Blank lines and comments, which are passed on by themselves, counted as events without id, after which a stream can't be resumed, and at the start of the next answer as an event that does not follow. They are told from events now and do not bear on the position.

Evidence: StartedStreamTest.commentsDoNotKeepAStreamFromGoingOn before: "IO chunked transfer encoding, state: READING_LENGTH"; after: green.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -222,7 +222,14 @@
     }
 
     private void forward(EventBuffer.Event event) {
-        StreamPosition.Order order = exchange.position().judge(event.id(), resuming && eventCount == 0);
+        boolean goesOn = resuming && eventCount == 0;
+        if (event.separator()) {
+            if (!goesOn) {
+                deliver(event);
+            }
+            return;
+        }
+        StreamPosition.Order order = exchange.position().judge(event.id(), goesOn);
         if (order == StreamPosition.Order.NEXT) {
             deliver(event);
         } else if (order == StreamPosition.Order.BROKEN) {
@@ -239,7 +246,7 @@
         }
         exchange.forwardEvent(event);
         restartStallTimer(STALL_TIMEOUT);
-        if (++eventCount % EngineSpec.EVENTS_PER_LOAD_UPDATE == 0) {
+        if (!event.separator() && ++eventCount % EngineSpec.EVENTS_PER_LOAD_UPDATE == 0) {
             updateLoad();
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -46,8 +46,9 @@
      *
      * @param bytes the bytes of the event, including the terminating blank line and what precedes the event
      * @param id the numeric event id; empty if the event has none
+     * @param separator whether these are blank lines and comments only
      */
-    record Event(byte[] bytes, OptionalLong id) {}
+    record Event(byte[] bytes, OptionalLong id, boolean separator) {}
 
     private EventBuffer(ByteBuf pending, StreamAllowance allowance) {
         this.pending = pending;
@@ -72,25 +73,25 @@
         int length = lengthOfNextEvent();
         while (length > 0 && eventCount < allowance.events()) {
             hasField = false;
-            events.add(take(length));
+            events.add(take(length, false));
             length = lengthOfNextEvent();
         }
         hasExcessEvent = length > 0;
         if (separatorBytes > 0 && eventCount < allowance.events()) {
-            events.add(take(separatorBytes));
+            events.add(take(separatorBytes, true));
         }
         pending.discardReadBytes();
         return events;
     }
 
-    private Event take(int length) {
+    private Event take(int length, boolean separator) {
         byte[] bytes = new byte[length];
         pending.readBytes(bytes);
         searchedBytes -= length;
         lineStart -= length;
         separatorBytes = 0;
         eventCount++;
-        return new Event(bytes, idOf(bytes));
+        return new Event(bytes, idOf(bytes), separator);
     }
 
     /** Returns whether the buffer contains part of an incomplete event. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -403,8 +403,10 @@
 
     /** Forwards an event to the caller. */
     void forwardEvent(EventBuffer.Event event) {
-        position.recordDelivered(event.id());
-        eventsDelivered++;
+        if (!event.separator()) {
+            position.recordDelivered(event.id());
+            eventsDelivered++;
+        }
         scope.exchange().write(Unpooled.wrappedBuffer(event.bytes()));
     }
 
