Never send two attempts of one request over one connection

Callers were told "not run, try again" of requests that were running: an operator's report on servers that write an earlier refusal once more on a kept connection.

Cause: an answer was matched by its request, not by its attempt. A server rejects a request (503, Not-Executed) and the caller repeats it, or the instance comes back to a server whose rejection moved the decode elsewhere. The second attempt may go over the same kept connection. A late copy of the rejection bears the id of the request and was read as the answer to the second attempt, which runs.

A connection remembers the hash codes of the ids that it has carried and takes none of them again; an attempt in between gets another connection. So every answer on a connection that bears the id of its call belongs to this attempt.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -28,7 +28,7 @@
  * <p>An answer that names another request than the call is dropped. One that names none fails a call that has an id,
  * unless it is the first on the connection: otherwise it may be a copy of the answer to an earlier call.
  *
- * <p>It is reused only if the response was complete, belonged to the request and left no data behind. Data that arrives
+ * <p>It never carries two attempts of one request, whose answers bear the same id. It is reused only if the response was complete, belonged to the request and left no data behind. Data that arrives
  * while no call is in progress closes the connection.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
@@ -48,6 +48,7 @@
     private ConnectionUse use = ConnectionUse.NEW;
     private Optional<RequestId> requestId = Optional.empty();
     private int calls;
+    private final CarriedRequests carried = new CarriedRequests();
 
     UpstreamConnection(HostPort address, Clock clock, UpstreamPool pool) {
         this.address = address;
@@ -63,6 +64,11 @@
         return idleSince;
     }
 
+    /** Returns whether a request can't be told from one that the connection has carried. */
+    boolean hasCarried(RequestId id) {
+        return carried.mayContain(id);
+    }
+
     /** Returns the idle timeout from the {@code Keep-Alive} header of the last response; null if there was none. */
     Duration announcedIdleTimeout() {
         return announcedIdleTimeout;
@@ -90,6 +96,7 @@
                 : new ConnectionUse(calls, clock.elapsed().minus(idleSince));
         calls++;
         requestId = request.id();
+        requestId.ifPresent(carried::add);
         progress = AttemptProgress.CONNECTED;
         reusable = true;
         skippingResponse = false;
@@ -231,7 +238,7 @@
         progress = AttemptProgress.ANSWER_RECEIVED;
         setReading(true);
         idleSince = clock.elapsed();
-        if (reusable && requestWritten) {
+        if (reusable && requestWritten && !carried.isFull()) {
             pool.addIdle(this);
         } else {
             close();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -201,6 +201,9 @@
             if (idleTime.compareTo(request.maxIdle()) > 0) {
                 break;
             }
+            if (request.id().filter(connection::hasCarried).isPresent()) {
+                continue;
+            }
             iterator.remove();
             return Optional.of(connection);
         }
