Read a kept connection before it is used again

After a pause of the process, a request could go out on a connection on which surplus bytes of its server waited: the first thing that the call then got was not its answer.

Cause: a connection was reused if it had been idle for 3 ms and nothing had arrived in this time. The idle time is a difference of clock readings; it grows while the process stands still and nothing is read. The next calls, all of one instance, went out before the loop had read their connections. Also, part of a head of another answer that lay in the decoder was noticed by nobody at any time, and the next response completed it.

The pool now reads the socket of a connection at the moment it is chosen, without waiting, and takes it only if there was nothing and the decoder has nothing of a further response. It costs one read call per call on a kept connection. A connection becomes available when the read that ended its response is done with, no longer within it.

--- /dev/null
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
@@ -0,0 +1,48 @@
+package org.mangoridge.gateway.net;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Decodes responses and knows whether it has bytes of a response that is not complete. */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+    private boolean bodiless;
+    private boolean withinResponse;
+
+    ResponseDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /** Sets whether responses have no body whatever their headers say, as those to a HEAD request. */
+    void expectBodiless(boolean expected) {
+        bodiless = expected;
+    }
+
+    /** Returns whether bytes were received since the end of the last response. */
+    boolean hasPartialResponse() {
+        return withinResponse || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return bodiless || super.isContentAlwaysEmpty(message);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        int readable = buffer.readableBytes();
+        int decoded = out.size();
+        super.decode(context, buffer, out);
+        if (out.size() > decoded) {
+            withinResponse = !(out.get(out.size() - 1) instanceof LastHttpContent);
+        } else {
+            withinResponse |= buffer.readableBytes() < readable;
+        }
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -36,12 +37,14 @@
     private final HostPort address;
     private final Clock clock;
     private final UpstreamPool pool;
+    private final ResponseDecoder decoder;
     private Channel channel;
     private CallListener listener;
     private AttemptProgress progress = AttemptProgress.BEFORE_CONNECT;
     private boolean skippingResponse;
     private boolean informationalResponse;
     private boolean reusable;
+    private boolean idleAfterRead;
     private boolean requestWritten;
     private Duration announcedIdleTimeout;
     private Duration idleSince = Duration.ZERO;
@@ -50,10 +53,11 @@
     private int calls;
     private final CarriedRequests carried = new CarriedRequests();
 
-    UpstreamConnection(HostPort address, Clock clock, UpstreamPool pool) {
+    UpstreamConnection(HostPort address, Clock clock, UpstreamPool pool, ResponseDecoder decoder) {
         this.address = address;
         this.clock = clock;
         this.pool = pool;
+        this.decoder = decoder;
     }
 
     HostPort address() {
@@ -78,6 +82,18 @@
         return channel != null && channel.isActive();
     }
 
+    /**
+     * Reads what the server has sent since the last response; returns whether there was nothing and the connection is
+     * open. The idle time does not tell, since the event loop may have read nothing for all of it.
+     */
+    boolean isUsableAfterRead() {
+        ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        if (isOpen() && decoder.hasPartialResponse()) {
+            closeForSurplusBytes();
+        }
+        return isOpen();
+    }
+
     void opened(Channel opened) {
         channel = opened;
         progress = AttemptProgress.CONNECTED;
@@ -97,6 +113,7 @@
         calls++;
         requestId = request.id();
         requestId.ifPresent(carried::add);
+        decoder.expectBodiless(request.method().equals(HttpMethod.HEAD));
         progress = AttemptProgress.CONNECTED;
         reusable = true;
         skippingResponse = false;
@@ -239,13 +256,24 @@
         setReading(true);
         idleSince = clock.elapsed();
         if (reusable && requestWritten && !carried.isFull()) {
-            pool.addIdle(this);
+            idleAfterRead = true;
         } else {
             close();
         }
         done.completed();
     }
 
+    /** Makes the connection available for further calls only now, when all bytes that were read are decoded. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (idleAfterRead) {
+            idleAfterRead = false;
+            if (isOpen()) {
+                pool.addIdle(this);
+            }
+        }
+    }
+
     private void fail(CallFailure failure) {
         CallListener failing = listener;
         listener = null;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -22,8 +22,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import jdk.net.ExtendedSocketOptions;
 import org.mangoridge.core.id.RequestId;
@@ -205,7 +205,9 @@
                 continue;
             }
             iterator.remove();
-            return Optional.of(connection);
+            if (connection.isUsableAfterRead()) {
+                return Optional.of(connection);
+            }
         }
         return Optional.empty();
     }
@@ -219,7 +221,9 @@
     }
 
     private void connect(UpstreamRequest request, UpstreamCall call) {
-        UpstreamConnection connection = new UpstreamConnection(request.address(), clock, this);
+        ResponseDecoder decoder = new ResponseDecoder(
+                new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES));
+        UpstreamConnection connection = new UpstreamConnection(request.address(), clock, this, decoder);
         request.body().retain();
         opened++;
         ChannelFuture future = new Bootstrap()
@@ -235,10 +239,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        HttpDecoderConfig config = new HttpDecoderConfig()
-                                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                .setMaxChunkSize(MAX_CHUNK_BYTES);
-                        channel.pipeline().addLast(new HttpClientCodec(config, false, false), connection);
+                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
                     }
                 })
                 .connect(request.address().socketAddress());
