Read a connection once in each turn of the event loop

What callers saw: beside one server that wrote without end, as fast as it was read, events of the other streams of the instance were late.

Cause: netty reads a connection up to 16 times in a turn, 64 KB each; 1 MB of small chunks is work for the event loop before any other connection is looked at.

Evidence: UpstreamPoolTest.connectionIsReadOnceInEachTurnOfTheEventLoop counts the bytes between two tasks of the loop. Before: expected to be at most: 65536 but was : 1048576

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -70,6 +70,7 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.oneReadPerTurn())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -230,6 +230,7 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadLimit.oneReadPerTurn())
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), TCP_PROBE_INTERVAL_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), TCP_PROBE_INTERVAL_SECONDS)
