Send what a stream brings in one turn of the event loop as one chunk

What callers saw: beside one server that wrote comments or small events without end, one event of twenty of the other streams of the instance took more than the platform's transit_ms (120 ms), the longest 1.2 s.

Cause: each event was a chunk of its own, written and flushed by itself, so that one read from a server was thousands of writes to a socket. FrontExchange now joins what is written in one turn of the event loop and sends it at the end of the turn, or before the end of the response. Nothing waits longer than for the rest of the turn.

Evidence: FrontServerTest.writesOfOneTurnAreFlushedTogether, before: expected 2, but was 1001.

FrontExchangeTest.aPartThatCannotBeWrittenClosesTheConnection lets the turn end before it looks; its checks are unchanged.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -29,6 +29,9 @@
     private Runnable disconnectListener = () -> {};
     private Consumer<Boolean> writabilityListener = ignored -> {};
     private boolean started;
+    /** What was written to the body since it was last sent; null if nothing was. */
+    private ByteBuf unsent;
+
     private boolean ended;
     private boolean closeAfter;
 
@@ -90,14 +93,29 @@
         if (ended || !started) {
             data.release();
             abort();
-        } else {
-            send(new DefaultHttpContent(data));
+            return;
+        }
+        if (unsent == null) {
+            unsent = context.alloc().buffer(data.readableBytes());
+            context.executor().execute(this::sendUnsent);
+        }
+        unsent.writeBytes(data);
+        data.release();
+    }
+
+    /** Sends what was written in this turn of the event loop as one chunk, since each chunk is a write to the socket. */
+    private void sendUnsent() {
+        if (unsent != null) {
+            HttpObject part = new DefaultHttpContent(unsent);
+            unsent = null;
+            send(part);
         }
     }
 
     @Override
     public void finish() {
         if (started && !ended) {
+            sendUnsent();
             end(send(LastHttpContent.EMPTY_LAST_CONTENT));
         } else {
             abort();
@@ -107,6 +125,7 @@
     @Override
     public void abort() {
         if (!ended) {
+            sendUnsent();
             ended = true;
             connection.responseSent(this, true);
             context.close();
@@ -126,6 +145,10 @@
     void callerGone() {
         if (!ended) {
             ended = true;
+            if (unsent != null) {
+                unsent.release();
+                unsent = null;
+            }
             disconnectListener.run();
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -87,7 +87,8 @@
         return ((java.net.InetSocketAddress) listening.localAddress()).getPort();
     }
 
-    private void accept(Channel channel) {
+    /** Sets up a connection of a caller. */
+    void accept(Channel channel) {
         if (connections.size() >= maxConnections) {
             channel.close();
             return;
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -111,6 +111,7 @@
             }
         });
         exchange[0].write(bytes("event"));
+        channel.runPendingTasks();
         assertThat(channel.isOpen()).isFalse();
         assertThat(disconnected[0]).isTrue();
     }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -1,12 +1,24 @@
 package org.mangoridge.gateway.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.mangoridge.core.net.HostPort;
@@ -66,4 +78,51 @@
             callers.clear();
         }
     }
+
+    /** Each event of a stream was a write to the socket, so that one read from a server could cost thousands of them. */
+    @Test
+    void writesOfOneTurnAreFlushedTogether() throws Exception {
+        CompletableFuture<CallerExchange> received = new CompletableFuture<>();
+        FrontServer server =
+                FrontServer.create(group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), 64);
+        FlushCounter flushes = new FlushCounter();
+        Channel listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(flushes);
+                        server.accept(channel);
+                    }
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
+        try (Socket caller = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
+            caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            CallerExchange exchange = received.get();
+            group.next().submit(() -> writeEvents(exchange)).sync();
+            // One for the head and one for all events.
+            assertThat(group.next().submit(() -> flushes.count).get()).isEqualTo(2);
+        }
+    }
+
+    private static void writeEvents(CallerExchange exchange) {
+        exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+        for (int event = 0; event < 1000; event++) {
+            exchange.write(Unpooled.copiedBuffer("data: x\n\n", StandardCharsets.US_ASCII));
+        }
+    }
+
+    private static final class FlushCounter extends ChannelOutboundHandlerAdapter {
+
+        private int count;
+
+        @Override
+        public void flush(ChannelHandlerContext context) {
+            count++;
+            context.flush();
+        }
+    }
 }
