Read each object of the store by itself

After a restart no instance got ready, and every request was refused; instances that were running learned of no change of servers any more.

Cause: JsonClient parsed the store's answer as a whole, so that a value beyond the limits of the parser, or one that it can't read, failed the list of all servers, and each watch that contained it. PlatformObjectFeed took that for a store that is not available and repeated the call for ever.

The answer is now kept as bytes (RawJson). Its structure is found by brackets and quotes alone, at any depth and with constant stack, and the fields that are needed of each object are parsed one by one under limits of their own: 64 levels, 100 digits, names of 1,024 and texts of 1,048,576 characters, 500,000 tokens.

Evidence: OddEntryTest, 14 entries, each at the start and while running.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
@@ -1,6 +1,5 @@
 package org.mangoridge.gateway.net;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -41,9 +40,15 @@
      *
      * @param status the HTTP status
      * @param headers the headers
-     * @param body the body; a missing node if it is empty or not JSON
+     * @param content the body as received
      */
-    public record Answer(int status, HttpHeaders headers, JsonNode body) {}
+    public record Answer(int status, HttpHeaders headers, RawJson content) {
+
+        /** Returns the parsed body; a missing node if it is empty, malformed or beyond the limits of {@link RawJson}. */
+        public JsonNode body() {
+            return content.parse();
+        }
+    }
 
     private JsonClient(EventLoop loop, RequestSender sender, ObjectMapper json) {
         this.loop = loop;
@@ -127,20 +132,9 @@
                 if (!result.isOk() && call[0] != null) {
                     call[0].cancel();
                 }
-                answer.accept(result.map(this::read));
+                answer.accept(result.map(
+                        response -> new Answer(response.status(), response.headers(), RawJson.of(response.body()))));
             }
         }));
     }
-
-    private Answer read(BodyCollector.Response answer) {
-        JsonNode body = json.missingNode();
-        try {
-            JsonNode parsed = json.readTree(answer.body());
-            body = parsed == null ? body : parsed;
-        } catch (IOException e) {
-            // Callers reject a missing body with an error of their own.
-            body = json.missingNode();
-        }
-        return new Answer(answer.status(), answer.headers(), body);
-    }
 }
