Keep the run of a silent server until another one answers

Around a planned stop, and beside full servers, callers saw resumable streams cut whose servers were sound: 0.9 s without an event, for any route, cancelled the run before it was known whether the stream may and can go on elsewhere. The server was ejected as well, and so were all others that paused meanwhile.

Now silence ends no run. Silent is a server that sent nothing for a quarter of the time after which callers of the route leave (QueueDeadlines.callerPatience), not counted while the caller itself is slow. First it is asked for a connection: a server that accepts one is only less preferred. One that doesn't, or that is silent for another quarter, is ejected, and the request goes to another server beside it, if the route, the retry budget and the room allow it at once. The first of the two that sends an event keeps the stream, and the other is closed then, so that no two work on it (TWICE). If the second fails, the first one's run is still there. A connection that breaks is noticed as before. Class of fault: an attempt that is given up before there is a better one. StreamResponse is the one place that begins, finishes and cuts a stream.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/QueueDeadlines.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/QueueDeadlines.java
@@ -23,14 +23,18 @@
 
     /** Returns the deadlines of a request of {@code route}. */
     public static QueueDeadlines of(Route route, Duration arrived, Duration deadline) {
-        Duration assumedTimeout = max(
+        Duration callerTimeout = min(callerPatience(route), deadline.minus(arrived));
+        Duration maxWait = Duration.ofNanos((long) (callerTimeout.toNanos() * WAITING_SHARE));
+        return new QueueDeadlines(arrived, arrived.plus(route.latencyTarget()), arrived.plus(maxWait));
+    }
+
+    /** Returns the time without an event after which callers of a route are assumed to leave. */
+    public static Duration callerPatience(Route route) {
+        return max(
                 MIN_CALLER_TIMEOUT,
                 max(
                         route.latencyTarget().multipliedBy(CALLER_TIMEOUT_LATENCY_TARGETS),
                         route.gapTarget().multipliedBy(CALLER_TIMEOUT_GAP_TARGETS)));
-        Duration callerTimeout = min(assumedTimeout, deadline.minus(arrived));
-        Duration maxWait = Duration.ofNanos((long) (callerTimeout.toNanos() * WAITING_SHARE));
-        return new QueueDeadlines(arrived, arrived.plus(route.latencyTarget()), arrived.plus(maxWait));
     }
 
     private static Duration max(Duration first, Duration second) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
@@ -39,10 +39,15 @@
         trialInFlight = false;
     }
 
-    /** Records that the server did not answer; returns the length of the new ejection, zero if one is running. */
-    Duration recordNoAnswer(Duration now) {
+    /** Records that the server, which accepts connections, is silent for some time; others are preferred meanwhile. */
+    void recordSilence(Duration now) {
         decay(now);
         errorShare += 2 * SAMPLE_WEIGHT * (1 - errorShare);
+    }
+
+    /** Records that the server did not answer; returns the length of the new ejection, zero if one is running. */
+    Duration recordNoAnswer(Duration now) {
+        recordSilence(now);
         trialInFlight = false;
         if (now.compareTo(ejectedUntil) < 0) {
             return Duration.ZERO;
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
@@ -37,6 +37,11 @@
         zones.recordUnreachable(server.zone(), server.id(), now);
     }
 
+    /** Records that a server which accepts connections is silent for some time; it is not ejected. */
+    public void recordSilence(ServerId server, Duration now) {
+        health(server).recordSilence(now);
+    }
+
     /** Records that a server did not answer; returns the length of the new ejection, zero if one is running. */
     public Duration recordNoAnswer(ServerId server, Duration now) {
         return health(server).recordNoAnswer(now);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -13,12 +13,12 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.dispatch.balance.QueueDeadlines;
 import org.mangoridge.dispatch.balance.ServerLoad;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.Attempt;
 import org.mangoridge.dispatch.request.AttemptWork;
-import org.mangoridge.dispatch.request.RetryPolicy;
 import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.dispatch.request.StreamAllowance;
 import org.mangoridge.dispatch.request.StreamPosition;
@@ -26,6 +26,7 @@
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
+import org.mangoridge.gateway.net.UpstreamPool;
 
 /**
  * Executes a request at a decode server and forwards its events to the caller.
@@ -34,8 +35,8 @@
  */
 final class DecodeStep implements CallListener {
 
-    /** Time without an event, beyond the expected time to the first one, after which a stream is considered stalled. */
-    private static final Duration STALL_TIMEOUT = Duration.ofMillis(900);
+    /** Number of times that a silent server is looked at before the caller is assumed to leave. */
+    private static final int SILENCE_CHECKS = 4;
 
     /** Time from the first event in which a crash of the server may be due to the prompt. */
     private static final Duration BEGINNING = Duration.ofMillis(500);
@@ -49,11 +50,17 @@
     private final ServerEntry server;
     private final SendPermit permit;
     private final Duration expectedFirstEvent;
+    /** Time without an event, beyond the expected time to the first one, after which the server counts as silent. */
+    private final Duration silenceTime;
+
     private ServerLoad load;
     private ServerLoad prefillLoad = ServerLoad.NONE;
     private AttemptWork work;
     private UpstreamCall call;
-    private ScheduledFuture<?> stallTimer;
+    private ScheduledFuture<?> silenceTimer;
+    private int silenceChecks;
+    private boolean reading = true;
+    private boolean outcomeRecorded;
     private HttpResponse head;
     private ServerReply reply;
     private final EventBuffer eventBuffer;
@@ -65,7 +72,6 @@
     private boolean survivalRecorded;
     private int eventCount;
     private boolean resuming;
-    private boolean ejected;
     private boolean released;
 
     DecodeStep(GatewayContext context, ModelExchange exchange, SendPermit permit, Duration expectedFirstEvent) {
@@ -74,6 +80,8 @@
         this.server = permit.server();
         this.permit = permit;
         this.expectedFirstEvent = expectedFirstEvent;
+        this.silenceTime =
+                QueueDeadlines.callerPatience(exchange.scope().route()).dividedBy(SILENCE_CHECKS);
         TokenDemand tokens = exchange.scope().caller().tokens();
         this.eventBuffer = EventBuffer.of(StreamAllowance.of(tokens, exchange.spec()));
         this.load = ServerLoad.ofDecode(tokens, exchange.spec(), 0);
@@ -89,16 +97,16 @@
         RequestScope scope = exchange.scope();
         work = newWork;
         started = context.now();
-        resuming = exchange.responseStarted();
+        resuming = exchange.response().started();
         if (work instanceof AttemptWork.FullRequest) {
             prefillLoad = new ServerLoad(0, scope.caller().tokens().prompt(), 0, 0);
             context.loads().add(server.id(), prefillLoad);
         }
         scope.recordSend();
         context.serverHealth().recordSent(server.id());
-        OptionalLong after = exchange.position().lastId();
+        OptionalLong after = exchange.response().position().lastId();
         Attempt attempt = new Attempt(scope.caller(), server.id(), scope.remainingTime(), work, after);
-        restartStallTimer(expectedFirstEvent.plus(STALL_TIMEOUT));
+        restartSilenceTimer(expectedFirstEvent.plus(silenceTime));
         call = context.calls()
                 .call(
                         permit,
@@ -119,8 +127,21 @@
         return call.progress().verdict();
     }
 
+    ServerEntry server() {
+        return server;
+    }
+
+    /** Records once whether the server may have executed the request. */
+    void recordOutcome(Verdict verdict) {
+        if (!outcomeRecorded) {
+            outcomeRecorded = true;
+            exchange.scope().recordOutcome(verdict);
+        }
+    }
+
     /** Pauses or resumes reading the response, so that a slow caller slows the server down. */
     void setReading(boolean on) {
+        reading = on;
         if (call != null && !released) {
             call.setReading(on);
         }
@@ -137,14 +158,14 @@
         }
     }
 
-    /** Removes the load of the request from the server and stops the stall timer; repeated calls have no effect. */
+    /** Removes the load of the request from the server and stops the silence timer; repeated calls have no effect. */
     void release() {
         if (!released) {
             released = true;
             removePrefillLoad();
             context.loads().subtract(server.id(), load);
-            if (stallTimer != null) {
-                stallTimer.cancel(false);
+            if (silenceTimer != null) {
+                silenceTimer.cancel(false);
             }
             errorBody.release();
             errorBody = Unpooled.EMPTY_BUFFER;
@@ -160,32 +181,56 @@
         prefillLoad = ServerLoad.NONE;
     }
 
-    private void restartStallTimer(Duration time) {
-        if (stallTimer != null) {
-            stallTimer.cancel(false);
+    private void restartSilenceTimer(Duration time) {
+        if (silenceTimer != null) {
+            silenceTimer.cancel(false);
         }
-        stallTimer = context.schedule(time, this::onStall);
+        silenceTimer = context.schedule(time, this::onSilence);
     }
 
-    private void onStall() {
+    /**
+     * Looks at a server that sent no event for some time. It may be sound and go on, so that its run is never ended for its
+     * silence, except by the first event of another server.
+     */
+    private void onSilence() {
         if (released) {
             return;
         }
-        if (!ejected) {
-            ejected = true;
-            Duration time = context.serverHealth().recordNoAnswer(server.id(), context.now());
+        restartSilenceTimer(silenceTime);
+        if (!reading) {
+            // The caller is slow, not the server.
+            return;
+        }
+        silenceChecks++;
+        if (silenceChecks == 1) {
+            context.calls().checkListening(server, EngineTimeouts.CONNECT_TIMEOUT, this::onListeningChecked);
+        } else {
+            eject("no event for a long time");
+            exchange.serverSilent(this);
+        }
+    }
+
+    private void onListeningChecked(UpstreamPool.Listening listening) {
+        if (released || silenceChecks == 0) {
+            return;
+        }
+        if (listening == UpstreamPool.Listening.YES) {
+            context.serverHealth().recordSilence(server.id(), context.now());
+        } else {
+            eject("no event, and no new connection");
+            exchange.serverSilent(this);
+        }
+    }
+
+    private void eject(String cause) {
+        Duration time = context.serverHealth().recordNoAnswer(server.id(), context.now());
+        if (time.isPositive()) {
             exchange.scope()
                     .log(
                             LogEvent.SERVER_EJECTED,
                             Field.of("server", server.id()),
                             Field.of("for_ms", time),
-                            Field.of("cause", "stream stalled"));
-        }
-        if (exchange.scope().route().repeat() == RetryPolicy.RESUMABLE) {
-            Verdict verdict = verdict();
-            call.cancel();
-            release();
-            exchange.decodeFailed(server, verdict, false, "no event within the stall timeout");
+                            Field.of("cause", cause));
         }
     }
 
@@ -218,19 +263,21 @@
 
     /** Returns whether the answer is one that begins the response or can go on with it. */
     private boolean isStream() {
-        return reply.isVerifiedSuccess() && (!resuming || exchange.continuesResponse(head));
+        return reply.isVerifiedSuccess() && (!resuming || exchange.response().isContinuedBy(head));
     }
 
     private void forward(EventBuffer.Event event) {
         boolean goesOn = resuming && eventCount == 0;
         if (event.separator()) {
             if (!goesOn) {
+                exchange.answeredBy(this);
                 deliver(event);
             }
             return;
         }
-        StreamPosition.Order order = exchange.position().judge(event.id(), goesOn);
+        StreamPosition.Order order = exchange.response().position().judge(event.id(), goesOn);
         if (order == StreamPosition.Order.NEXT) {
+            exchange.answeredBy(this);
             deliver(event);
         } else if (order == StreamPosition.Order.BROKEN) {
             failStream("an event does not follow the one before");
@@ -244,8 +291,9 @@
         } else if (context.now().minus(firstEventAt).compareTo(SURVIVAL_TIME) >= 0) {
             recordSurvival();
         }
-        exchange.forwardEvent(event);
-        restartStallTimer(STALL_TIMEOUT);
+        exchange.response().forward(event);
+        silenceChecks = 0;
+        restartSilenceTimer(silenceTime);
         if (!event.separator() && ++eventCount % EngineSpec.EVENTS_PER_LOAD_UPDATE == 0) {
             updateLoad();
         }
@@ -269,12 +317,12 @@
                     .log(
                             LogEvent.STREAM_RESUMED,
                             Field.of("server", server.id()),
-                            Field.of("after", exchange.position().lastId()));
+                            Field.of("after", exchange.response().position().lastId()));
         } else {
             context.metrics()
                     .recordLatency("latency.first_event", exchange.scope().age());
         }
-        exchange.startResponse(head);
+        exchange.response().start(head);
     }
 
     private void recordSurvival() {
@@ -321,7 +369,8 @@
             }
             context.serverHealth().recordAnswer(server, false, took, context.now());
             recordSurvival();
-            exchange.startResponse(head);
+            exchange.answeredBy(this);
+            exchange.response().start(head);
             release();
             exchange.completed(server, reply.status());
         } else if (reply.didNotRun()) {
@@ -337,7 +386,8 @@
      */
     private boolean endsBeforeNextEvent() {
         boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        return eventCount == 0 && (!framed || resuming && exchange.position().expectsMore());
+        return eventCount == 0
+                && (!framed || resuming && exchange.response().position().expectsMore());
     }
 
     private void onRejection() {
@@ -352,12 +402,12 @@
             context.serverHealth().recordAnswer(server, true, Duration.ZERO, context.now());
         }
         release();
-        exchange.decodeFailed(server, Verdict.NOT_RUN, cacheLost, "rejected with " + reply.status());
+        exchange.decodeFailed(this, Verdict.NOT_RUN, cacheLost, "rejected with " + reply.status());
     }
 
     private void onServerError(Duration took) {
         context.serverHealth().recordAnswer(server, reply.isServerError(), took, context.now());
-        boolean mayForward = !exchange.responseStarted()
+        boolean mayForward = !exchange.response().started()
                 && !reply.isUnverifiedSuccess()
                 && !PlainExchange.NOT_RUN_STATUSES.contains(reply.status());
         boolean mayRerun = exchange.scope().route().repeat().allowsRerun();
@@ -390,9 +440,9 @@
 
     private void fail(Verdict verdict, String detail) {
         if (eventBuffer.hasPartial()) {
-            exchange.position().recordBegunEvent();
+            exchange.response().position().recordBegunEvent();
         }
         release();
-        exchange.decodeFailed(server, verdict, false, detail);
+        exchange.decodeFailed(this, verdict, false, detail);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -3,15 +3,12 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
@@ -29,7 +26,6 @@
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.RetryPolicy;
-import org.mangoridge.dispatch.request.StreamPosition;
 
 /**
  * Serves one model request: places it, runs prefill and decode, and forwards the events to the caller.
@@ -56,14 +52,13 @@
     private final Set<ServerId> excludedServers = new HashSet<>();
     private PrefillStep prefill;
     private DecodeStep decode;
+    /** The run of a silent server, which goes on until the first event of {@link #decode}; null if there is none. */
+    private DecodeStep silent;
+
     private ReservationStep reservation;
     private ScheduledFuture<?> deadlineTimer;
-    private final StreamPosition position;
-    /** The head of the first server's answer, with which the response began; null before. */
-    private HttpResponse firstHead;
-
+    private final StreamResponse response;
     private boolean ended;
-    private int eventsDelivered;
 
     ModelExchange(GatewayContext context, RequestScope scope, EngineSpec spec, ModelQueue queue) {
         this.context = context;
@@ -71,7 +66,7 @@
         this.spec = spec;
         this.queue = queue;
         this.queueDeadlines = QueueDeadlines.of(scope.route(), scope.arrived(), scope.deadline());
-        this.position = StreamPosition.after(scope.caller().resumeAfter());
+        this.response = new StreamResponse(context, scope);
     }
 
     void start() {
@@ -80,6 +75,9 @@
             if (decode != null) {
                 decode.setReading(on);
             }
+            if (silent != null) {
+                silent.setReading(on);
+            }
         });
         deadlineTimer = context.schedule(scope.remainingTime(), this::deadlinePassed);
         placeOrEnqueue();
@@ -93,24 +91,14 @@
         return spec;
     }
 
-    StreamPosition position() {
-        return position;
+    StreamResponse response() {
+        return response;
     }
 
     boolean ended() {
         return ended;
     }
 
-    boolean responseStarted() {
-        return firstHead != null;
-    }
-
-    /** Returns whether an answer can go on with the response: it is of the same kind as the one that began it. */
-    boolean continuesResponse(HttpResponse head) {
-        return head.status().equals(firstHead.status())
-                && Objects.equals(HttpUtil.getMimeType(head), HttpUtil.getMimeType(firstHead));
-    }
-
     private void placeOrEnqueue() {
         if (refuseIfQuarantined() || refuseIfAllPaused()) {
             return;
@@ -142,8 +130,8 @@
             return false;
         }
         abandon();
-        if (responseStarted()) {
-            cutStream("a part of the prompt is quarantined");
+        if (response.started()) {
+            response.cut("a part of the prompt is quarantined");
         } else {
             scope.refuseQuarantined(part.get());
         }
@@ -196,17 +184,7 @@
     void place(EnginePlacement placement) {
         switch (placement) {
             case EnginePlacement.Split split -> {
-                scope.logPlaced(
-                        List.of(split.prefill(), split.decode()),
-                        Field.of("prefill", split.prefill().id()),
-                        Field.of("server", split.decode().id()),
-                        Field.of("first_token_ms", split.firstToken()),
-                        Field.of(
-                                "prefill_load",
-                                context.loads().total(split.prefill().id()).prefillTokens()),
-                        Field.of(
-                                "server_kv",
-                                context.loads().total(split.decode().id()).kvTokens()));
+                scope.logPlaced(split);
                 decode = newDecode(split.decode(), split.firstToken());
                 prefill = new PrefillStep(
                         context, this, context.calls().acquire(split.prefill(), CallKind.PREFILL), split.firstToken());
@@ -218,13 +196,7 @@
                 }
             }
             case EnginePlacement.Direct direct -> {
-                scope.logPlaced(
-                        List.of(direct.decode()),
-                        Field.of("server", direct.decode().id()),
-                        Field.of("first_token_ms", direct.firstToken()),
-                        Field.of(
-                                "server_kv",
-                                context.loads().total(direct.decode().id()).kvTokens()));
+                scope.logPlaced(direct);
                 decode = newDecode(direct.decode(), direct.firstToken());
                 decode.start(new AttemptWork.FullRequest());
             }
@@ -266,6 +238,9 @@
     /** Places the request anew after the decode server rejected the reservation; nothing has been executed yet. */
     void reservationRejected() {
         reservation = null;
+        if (goOnWithSilent()) {
+            return;
+        }
         prefill.abandon();
         prefill = null;
         decode.release();
@@ -309,16 +284,32 @@
     /** Retries the request after its prefill failed; the decode server has not executed anything. */
     void prefillFailed(ServerEntry server, String detail) {
         excludedServers.add(server.id());
+        prefill = null;
+        if (silent != null) {
+            logAttemptFailed(server, detail, false);
+            goOnWithSilent();
+            return;
+        }
         releaseReservation();
         decode.release();
-        prefill = null;
         decode = null;
         retryOrGiveUp(server, Verdict.NOT_RUN, detail);
     }
 
     /** Retries the request after the decode server rejected it or failed before the end of the stream. */
-    void decodeFailed(ServerEntry server, Verdict verdict, boolean cacheLost, String detail) {
-        scope.recordOutcome(verdict);
+    void decodeFailed(DecodeStep failed, Verdict verdict, boolean cacheLost, String detail) {
+        ServerEntry server = failed.server();
+        failed.recordOutcome(verdict);
+        if (silent != null) {
+            excludedServers.add(server.id());
+            logAttemptFailed(server, detail, false);
+            if (failed == silent) {
+                silent = null;
+            } else {
+                goOnWithSilent();
+            }
+            return;
+        }
         decode = null;
         if (cacheLost && decodeOnAnotherServer(server, detail)) {
             return;
@@ -359,14 +350,78 @@
         return true;
     }
 
-    private void retryOrGiveUp(ServerEntry server, Verdict verdict, String detail) {
-        boolean retrying = !ended && acquireRetry(verdict);
+    /**
+     * Sends the request to another server beside one that is silent, if that is allowed and there is room now. The run of
+     * the silent one stays until the other has begun to answer.
+     */
+    void serverSilent(DecodeStep step) {
+        boolean mayRepeat = !ended
+                && step == decode
+                && silent == null
+                && step.verdict() != Verdict.NOT_RUN
+                && scope.route().repeat() == RetryPolicy.RESUMABLE;
+        if (!mayRepeat) {
+            return;
+        }
+        step.recordOutcome(step.verdict());
+        excludedServers.add(step.server().id());
+        Optional<EnginePlacement> placement = mayRetry(step.verdict()) ? findPlacement() : Optional.empty();
+        boolean repeated = placement.isPresent()
+                && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
+        logAttemptFailed(step.server(), "silent; its run stays until another server answers", repeated);
+        if (repeated) {
+            silent = step;
+            // The silent server may still import the KV cache.
+            releasePrefill();
+            prefill = null;
+            reservation = null;
+            place(placement.get());
+        }
+    }
+
+    /** Ends the other run if two servers work on the request; called when one of them begins to answer or goes on. */
+    void answeredBy(DecodeStep step) {
+        if (step == silent) {
+            goOnWithSilent();
+        } else if (silent != null) {
+            silent.abandon();
+            silent = null;
+        }
+    }
+
+    /** Ends the run beside that of a silent server; returns false if there is no silent one. */
+    private boolean goOnWithSilent() {
+        if (silent == null) {
+            return false;
+        }
+        dropPrefill();
+        decode.recordOutcome(decode.verdict());
+        decode.abandon();
+        decode = silent;
+        silent = null;
+        return true;
+    }
+
+    private void dropPrefill() {
+        if (prefill != null) {
+            prefill.abandon();
+            prefill = null;
+        }
+        releaseReservation();
+    }
+
+    private void logAttemptFailed(ServerEntry server, String detail, boolean repeated) {
         scope.logAttemptFailed(
                 server.id(),
                 detail,
-                Field.of("repeated", retrying),
-                Field.of("delivered", responseStarted()),
+                Field.of("repeated", repeated),
+                Field.of("delivered", response.started()),
                 Field.of("parts", scope.caller().sharedParts()));
+    }
+
+    private void retryOrGiveUp(ServerEntry server, Verdict verdict, String detail) {
+        boolean retrying = !ended && acquireRetry(verdict);
+        logAttemptFailed(server, detail, retrying);
         if (retrying) {
             placeOrEnqueue();
         } else if (!refuseIfQuarantined()) {
@@ -376,38 +431,24 @@
 
     /** Returns whether the request may be retried, and takes one retry from the budget if so. */
     private boolean acquireRetry(Verdict verdict) {
+        return mayRetry(verdict)
+                && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
+    }
+
+    private boolean mayRetry(Verdict verdict) {
         if (context.crashGuard().find(scope.identity()).isPresent()
                 || context.crashGuard().implicates(scope.identity())
-                || responseStarted() && (scope.route().repeat() != RetryPolicy.RESUMABLE || !position.canResume())) {
+                || response.started()
+                        && (scope.route().repeat() != RetryPolicy.RESUMABLE
+                                || !response.position().canResume())) {
             return false;
         }
         return RetryDecision.mayRetry(
-                        scope.route().repeat(),
-                        verdict,
-                        scope.runs(),
-                        scope.sends(),
-                        scope.route().maxAttempts())
-                && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
-    }
-
-    /** Forwards the status and headers of the first server; those of a server that resumes the stream are dropped. */
-    void startResponse(HttpResponse head) {
-        if (!responseStarted()) {
-            firstHead = head;
-            scope.exchange()
-                    .startResponse(
-                            HttpResponseStatus.valueOf(head.status().code()),
-                            ForwardHeaders.ofResponse(head.headers(), context.dialect()));
-        }
-    }
-
-    /** Forwards an event to the caller. */
-    void forwardEvent(EventBuffer.Event event) {
-        if (!event.separator()) {
-            position.recordDelivered(event.id());
-            eventsDelivered++;
-        }
-        scope.exchange().write(Unpooled.wrappedBuffer(event.bytes()));
+                scope.route().repeat(),
+                verdict,
+                scope.runs(),
+                scope.sends(),
+                scope.route().maxAttempts());
     }
 
     /** Completes the response after the last event. */
@@ -415,13 +456,7 @@
         releasePrefill();
         end();
         queue.retryAfterPolicy().recordServed(context.now());
-        scope.exchange().finish();
-        scope.logAnswered(
-                server.id(),
-                status,
-                Field.of("events", eventsDelivered),
-                Field.of("prompt_tokens", scope.caller().tokens().prompt()),
-                Field.of("max_output", scope.caller().tokens().maxOutput()));
+        response.finish(server, status);
     }
 
     /** Forwards a server's error response to the caller as the final response. */
@@ -451,8 +486,8 @@
     private void callerDisconnected() {
         scope.log(
                 LogEvent.CALLER_GONE,
-                Field.of("delivered", responseStarted()),
-                Field.of("last_event", position.lastId()));
+                Field.of("delivered", response.started()),
+                Field.of("last_event", response.position().lastId()));
         context.metrics().count("callers.gone");
         abandon();
     }
@@ -462,7 +497,7 @@
             return;
         }
         if (decode != null) {
-            scope.recordOutcome(decode.verdict());
+            decode.recordOutcome(decode.verdict());
         }
         abandon();
         giveUp(RefusalReason.DEADLINE, "no response before the deadline of the request");
@@ -478,6 +513,9 @@
         if (decode != null) {
             decode.abandon();
         }
+        if (silent != null) {
+            silent.abandon();
+        }
     }
 
     private void releaseReservation() {
@@ -490,20 +528,14 @@
     /** Ends a request that cannot be served: refuses it, or cuts its stream if the response has begun. */
     private void giveUp(RefusalReason reason, String detail) {
         end();
-        if (responseStarted()) {
-            cutStream(detail);
+        if (response.started()) {
+            response.cut(detail);
             return;
         }
         Duration after = queue.retryAfterPolicy().recordRefused(scope.remainingTime(), context.random(), context.now());
         scope.refuse(reason, detail, Optional.of(after), Field.of("waiting", queue.size(scope.service())));
     }
 
-    private void cutStream(String cause) {
-        scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", position.lastId()));
-        context.metrics().count("streams.cut");
-        scope.exchange().abort();
-    }
-
     private void end() {
         ended = true;
         deadlineTimer.cancel(false);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -15,6 +15,7 @@
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.dispatch.balance.EnginePlacement;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.Attempt;
@@ -194,6 +195,29 @@
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
     }
 
+    /** Logs the two servers of a model request. */
+    void logPlaced(EnginePlacement.Split split) {
+        logPlaced(
+                List.of(split.prefill(), split.decode()),
+                Field.of("prefill", split.prefill().id()),
+                Field.of("server", split.decode().id()),
+                Field.of("first_token_ms", split.firstToken()),
+                Field.of(
+                        "prefill_load",
+                        context.loads().total(split.prefill().id()).prefillTokens()),
+                Field.of("server_kv", context.loads().total(split.decode().id()).kvTokens()));
+    }
+
+    /** Logs the one server of a model request. */
+    void logPlaced(EnginePlacement.Direct direct) {
+        logPlaced(
+                List.of(direct.decode()),
+                Field.of("server", direct.decode().id()),
+                Field.of("first_token_ms", direct.firstToken()),
+                Field.of(
+                        "server_kv", context.loads().total(direct.decode().id()).kvTokens()));
+    }
+
     /** Logs where the request goes, and how limits bear on that. */
     void logPlaced(List<ServerEntry> chosen, Field... inputs) {
         List<Field> fields = new ArrayList<>(List.of(inputs));
