Back off from servers that reject all requests

Cause: a rejection counted as a short latency, so that the server that rejects was the cheapest; it got most requests until the retry budget was used up, and its rejections then went to the callers.

A rejection (503, 429, Not-Executed) now raises the error share alone, and a server is backed off for as long as it has rejected all requests: a moment if it was full, up to 4 s if it takes nothing. It is asked again by single requests. While nothing else can serve a request, a server that has rejected for less than half a second is asked nevertheless, so that full servers stay in use.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -73,6 +73,8 @@
     SERVER_PAUSED(314, Level.INFO, "server paused"),
     /** A backend server asks for a pause that is no number of seconds, or too long. */
     SERVER_PAUSE_INVALID(315, Level.WARNING, "server pause invalid"),
+    /** A backend server has rejected all requests for some time and is asked less and less often. */
+    SERVER_REJECTING(316, Level.WARNING, "server rejecting"),
     /** A configuration was adopted. */
     CONFIGURATION_ADOPTED(401, Level.INFO, "configuration adopted"),
     /** A configuration was rejected; the last good one stays in force. */
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/PlainBalancer.java
@@ -15,7 +15,8 @@
  * Chooses the server of a plain service for a request: the one with the lowest expected cost, mainly latency.
  *
  * <p>If all servers are ejected, all count as usable, so that a fault of a whole service does not make it
- * unreachable. If those that are not are at their limits, one that lost a single answer is used as well.
+ * unreachable. If those that are not are at their limits, one that lost a single answer is used as well, and one that
+ * is backed off because it rejected requests, unless it has rejected all of them for some time.
  */
 public final class PlainBalancer {
 
@@ -64,11 +65,15 @@
      * @param tried servers that were sent the request before; they are not chosen again
      */
     public Optional<ServerEntry> choose(List<ServerEntry> servers, Set<ServerId> tried, Duration now) {
+        List<ServerEntry> open = servers.stream()
+                .filter(server -> health.backOffRemaining(server, now).isZero())
+                .toList();
         List<ServerEntry> usable =
-                servers.stream().filter(server -> health.isUsable(server, now)).toList();
-        List<ServerEntry> candidates = usable.isEmpty() ? servers : usable;
+                open.stream().filter(server -> health.isUsable(server, now)).toList();
+        List<ServerEntry> candidates = usable.isEmpty() ? open : usable;
         Optional<ServerEntry> cheapest = cheapest(candidates, tried, now);
-        boolean heldBack = candidates.stream().anyMatch(server -> !limiter.permits(server, now));
+        boolean heldBack =
+                open.size() < servers.size() || candidates.stream().anyMatch(server -> !limiter.permits(server, now));
         if (cheapest.isEmpty() && heldBack) {
             return cheapest(
                     servers.stream()
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
@@ -7,11 +7,16 @@
  *
  * <p>A server that does not answer is ejected for a time that doubles with each consecutive ejection; afterwards a
  * single trial request is sent. Failed answers do not eject a server but make balancers prefer others.
+ *
+ * <p>A server that rejects requests is backed off for as long as it has rejected all of them: a moment if it was full
+ * and takes others, ever longer if it takes none. Afterwards it gets one request at a time until it takes one.
  */
 final class ServerHealth {
 
     private static final Duration INITIAL_EJECTION = Duration.ofMillis(500);
     private static final Duration MAX_EJECTION = Duration.ofSeconds(4);
+    /** Shortest back-off, about the time in which a server that was full completes a request. */
+    private static final Duration MIN_BACK_OFF = Duration.ofMillis(20);
     /** Weight of one answer in the moving averages, which reflect about the last ten answers. */
     private static final double SAMPLE_WEIGHT = 0.1;
     /** Half-life of the averages without answers, so that a server without requests is tried again. */
@@ -26,8 +31,15 @@
     private Duration ejectedUntil = Duration.ZERO;
     private int ejections;
     private boolean trialInFlight;
+    /** The first rejection since the last answer that was none; null if the last answer was none. */
+    private Duration rejectingSince;
+
+    private Duration backOff = Duration.ZERO;
+    private Duration backedOffUntil = Duration.ZERO;
+    /** How long the last rejection took to come. */
+    private Duration rejectionLatency = Duration.ZERO;
 
-    /** Records an answer and its latency. */
+    /** Records an answer that is no rejection, and its latency. */
     void recordAnswer(boolean failed, Duration took, Duration now) {
         decay(now);
         errorShare += SAMPLE_WEIGHT * ((failed ? 1 : 0) - errorShare);
@@ -37,6 +49,26 @@
             ejections = 0;
         }
         trialInFlight = false;
+        rejectingSince = null;
+        backOff = Duration.ZERO;
+        backedOffUntil = Duration.ZERO;
+    }
+
+    /**
+     * Records that the server rejected a request, which says nothing about how fast it serves one; returns the length
+     * of the back-off.
+     */
+    Duration recordRejection(Duration took, Duration now) {
+        decay(now);
+        errorShare += SAMPLE_WEIGHT * (1 - errorShare);
+        trialInFlight = false;
+        rejectionLatency = took;
+        if (rejectingSince == null) {
+            rejectingSince = now;
+        }
+        backOff = min(max(now.minus(rejectingSince), MIN_BACK_OFF), MAX_EJECTION);
+        backedOffUntil = max(backedOffUntil, now.plus(backOff));
+        return backOff;
     }
 
     /** Records that the server, which accepts connections, is silent for some time; others are preferred meanwhile. */
@@ -64,16 +96,33 @@
         return now.compareTo(ejectedUntil) >= 0 && !(ejections > 0 && trialInFlight);
     }
 
-    /** Tells whether the server may be sent a request where the alternative is a refusal: one answer was lost so far. */
+    /**
+     * Tells whether the server may be sent a request where the alternative is a refusal: one answer was lost so far, and
+     * if it rejects requests, it has not done so for long.
+     */
     boolean isUsableInNeed(Duration now) {
-        return isUsable(now) || ejections == 1;
+        return (isUsable(now) || ejections == 1) && !isRejecting();
+    }
+
+    /** Tells whether the server has rejected all requests for so long that it was not only full for a moment. */
+    boolean isRejecting() {
+        return backOff.compareTo(INITIAL_EJECTION) >= 0;
+    }
+
+    /** Returns how long the server gets no more requests because it rejected some; zero if it may get one. */
+    Duration backOffRemaining(Duration now) {
+        return max(backedOffUntil.minus(now), Duration.ZERO);
     }
 
     /** Records that a request is sent to the server. */
-    void recordSent() {
+    void recordSent(Duration now) {
         if (ejections > 0) {
             trialInFlight = true;
         }
+        if (rejectingSince != null) {
+            // A server that is sound may serve this one for long, so that only a rejection is waited for.
+            backedOffUntil = max(backedOffUntil, now.plus(min(rejectionLatency.plus(MIN_BACK_OFF), INITIAL_EJECTION)));
+        }
     }
 
     /** Records that a request ended without evidence about the server, such as one that was cancelled. */
@@ -92,6 +141,14 @@
         return latencyMillis;
     }
 
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
+    }
+
     private void decay(Duration now) {
         double seconds = now.minus(updated).toNanos() / 1e9;
         if (seconds > 0) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealthTracker.java
@@ -21,12 +21,29 @@
         return new ServerHealthTracker();
     }
 
-    /** Records an answer of a server and its latency. */
+    /** Records an answer of a server that is no rejection, and its latency. */
     public void recordAnswer(ServerEntry server, boolean failed, Duration took, Duration now) {
         health(server.id()).recordAnswer(failed, took, now);
         zones.recordAnswer(server.zone());
     }
 
+    /**
+     * Records that a server rejected a request and how long that took; returns for how long it is backed off, zero if it
+     * may have been full for a moment.
+     */
+    public Duration recordRejection(ServerEntry server, Duration took, Duration now) {
+        ServerHealth health = health(server.id());
+        Duration backOff = health.recordRejection(took, now);
+        zones.recordAnswer(server.zone());
+        return health.isRejecting() ? backOff : Duration.ZERO;
+    }
+
+    /** Returns how long a server gets no more requests because it rejected some; zero if it may get one. */
+    public Duration backOffRemaining(ServerEntry server, Duration now) {
+        ServerHealth health = servers.get(server.id());
+        return health == null ? Duration.ZERO : health.backOffRemaining(now);
+    }
+
     /** Records that a server answered a call which tells nothing about its speed or its errors. */
     public void recordReachable(ServerEntry server) {
         zones.recordAnswer(server.zone());
@@ -48,8 +65,8 @@
     }
 
     /** Records that a request is sent to a server. */
-    public void recordSent(ServerId server) {
-        health(server).recordSent();
+    public void recordSent(ServerId server, Duration now) {
+        health(server).recordSent(now);
     }
 
     /** Records that a request ended without evidence about the server, such as one that was cancelled. */
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/ServerReply.java
@@ -28,6 +28,7 @@
     private static final int MIN_SUCCESS = 200;
     private static final int MIN_REDIRECT = 300;
     private static final int MIN_SERVER_ERROR = 500;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
 
     /** Returns whether the response is a signed, unmodified success that may be forwarded to the caller. */
@@ -55,6 +56,11 @@
         return (notRun && request.isPresent()) || misdirected;
     }
 
+    /** Returns whether the server turned the request away, whether or not it states that it did not execute it. */
+    public boolean isRejection() {
+        return status == UNAVAILABLE || status == TOO_MANY_REQUESTS || didNotRun();
+    }
+
     /** Returns whether the server had no capacity for the request, or could not import the KV cache that it needs. */
     public boolean isUnavailable() {
         return notRun && status == UNAVAILABLE;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -103,7 +103,7 @@
             context.loads().add(server.id(), prefillLoad);
         }
         scope.recordSend();
-        context.serverHealth().recordSent(server.id());
+        context.serverHealth().recordSent(server.id(), context.now());
         OptionalLong after = exchange.response().position().lastId();
         Attempt attempt = new Attempt(scope.caller(), server.id(), scope.remainingTime(), work, after);
         restartSilenceTimer(expectedFirstEvent.plus(silenceTime));
@@ -127,10 +127,6 @@
         return call.progress().verdict();
     }
 
-    ServerEntry server() {
-        return server;
-    }
-
     /** Records once whether the server may have executed the request. */
     void recordOutcome(Verdict verdict) {
         if (!outcomeRecorded) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -144,7 +144,7 @@
                 .filter(server -> server.stage() != ServerStage.PREFILL)
                 .toList();
         Optional<Duration> pauseEnd = context.limiter().firstPauseEnd(decodeServers, context.now());
-        if (pauseEnd.isEmpty() || responseStarted()) {
+        if (pauseEnd.isEmpty() || response.started()) {
             return false;
         }
         abandon();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -147,6 +147,13 @@
     private Duration returnTime() {
         Duration soon = MIN_RETRY_AFTER.plusMillis(context.random().nextInt(RETRY_AFTER_JITTER_MILLIS));
         List<ServerEntry> servers = context.directory().usable(scope.service());
+        Duration backOffEnd = servers.stream()
+                .map(server -> context.serverHealth().backOffRemaining(server, context.now()))
+                .min(Duration::compareTo)
+                .orElse(Duration.ZERO);
+        if (backOffEnd.compareTo(soon) > 0) {
+            return backOffEnd.plus(soon);
+        }
         boolean atLimit = !servers.isEmpty()
                 && servers.stream().noneMatch(server -> context.limiter().permits(server, context.now()));
         if (!atLimit) {
@@ -207,7 +214,7 @@
 
         void start() {
             context.loads().add(server.id(), ONE_REQUEST);
-            context.serverHealth().recordSent(server.id());
+            context.serverHealth().recordSent(server.id(), context.now());
             Attempt attempt = new Attempt(
                     scope.caller(),
                     server.id(),
@@ -325,8 +332,12 @@
                 return;
             }
             Duration took = context.now().minus(started);
-            boolean failed = reply.isServerError() || reply.isUnverifiedSuccess() || reply.didNotRun();
-            context.serverHealth().recordAnswer(server, failed, took, context.now());
+            if (reply.isRejection()) {
+                recordRejection(took);
+            } else {
+                boolean failed = reply.isServerError() || reply.isUnverifiedSuccess();
+                context.serverHealth().recordAnswer(server, failed, took, context.now());
+            }
             if (reply.didNotRun()) {
                 whole.release();
                 onRejection();
@@ -337,6 +348,15 @@
             }
         }
 
+        private void recordRejection(Duration took) {
+            context.metrics().count("rejections");
+            Duration backOff = context.serverHealth().recordRejection(server, took, context.now());
+            if (backOff.isPositive()) {
+                context.log().log(
+                        LogEvent.SERVER_REJECTING, Field.of("server", server.id()), Field.of("for_ms", backOff));
+            }
+        }
+
         private void onRejection() {
             if (reply.isFromOtherServer(server.id())) {
                 context.directory().drop(server.id());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -73,7 +73,7 @@
     void start() {
         RequestScope scope = exchange.scope();
         context.loads().add(server.id(), load);
-        context.serverHealth().recordSent(server.id());
+        context.serverHealth().recordSent(server.id(), context.now());
         started = context.now();
         Attempt attempt = new Attempt(
                 scope.caller(), server.id(), scope.remainingTime(), new AttemptWork.Prefill(), OptionalLong.empty());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -190,7 +190,7 @@
         fields.add(Field.of("status", status.code()));
         fields.add(Field.of("begun", begun));
         fields.add(Field.of("detail", detail));
-        fields.addAll(context.calls().limitFields(List.of(), context.directory().usable(service)));
+        fields.addAll(withheldFields(List.of()));
         refusal.retryAfter().ifPresent(after -> fields.add(Field.of("retry_after_ms", after)));
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
     }
@@ -218,10 +218,25 @@
                         "server_kv", context.loads().total(direct.decode().id()).kvTokens()));
     }
 
+    /** Returns fields that tell which servers of the service may not be sent anything now. */
+    private List<Field> withheldFields(List<ServerEntry> chosen) {
+        List<ServerEntry> servers = context.directory().usable(service);
+        List<Field> fields = new ArrayList<>(context.calls().limitFields(chosen, servers));
+        long backedOff = servers.stream()
+                .filter(server -> context.serverHealth()
+                        .backOffRemaining(server, context.now())
+                        .isPositive())
+                .count();
+        if (backedOff > 0) {
+            fields.add(Field.of("backed_off", backedOff));
+        }
+        return fields;
+    }
+
     /** Logs where the request goes, and how limits bear on that. */
     void logPlaced(List<ServerEntry> chosen, Field... inputs) {
         List<Field> fields = new ArrayList<>(List.of(inputs));
-        fields.addAll(context.calls().limitFields(chosen, context.directory().usable(service)));
+        fields.addAll(withheldFields(chosen));
         log(LogEvent.REQUEST_PLACED, fields.toArray(Field[]::new));
     }
 
