Leave a stream to its silent server where the second one asks for a pause

Each failure of the second attempt goes through leaveToSilent() now.

The pause beside a silent server has no test yet.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -1,10 +1,7 @@
 package org.mangoridge.gateway.exchange;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -12,16 +9,12 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.dispatch.balance.EnginePlacement;
-import org.mangoridge.dispatch.balance.PlacementTarget;
 import org.mangoridge.dispatch.balance.QueueDeadlines;
 import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.directory.ServerEntry;
-import org.mangoridge.dispatch.directory.ServerRun;
-import org.mangoridge.dispatch.directory.ServerStage;
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
@@ -35,12 +28,6 @@
  */
 final class ModelExchange {
 
-    /**
-     * Share of the latency target within which the first token of a late request must be expected for it to be placed,
-     * so that late requests do not delay those that can still be on time.
-     */
-    private static final double LATE_REQUEST_TARGET_SHARE = 0.5;
-
     /** Expected time from the start of a KV cache import to the first token. */
     private static final Duration CACHE_IMPORT_TIME = Duration.ofMillis(100);
 
@@ -49,7 +36,7 @@
     private final EngineSpec spec;
     private final ModelQueue queue;
     private final QueueDeadlines queueDeadlines;
-    private final Set<ServerId> excludedServers = new HashSet<>();
+    private final PlacementFinder placements;
     private PrefillStep prefill;
     private DecodeStep decode;
     /** The run of a silent server, which goes on until the first event of {@link #decode}; null if there is none. */
@@ -66,6 +53,7 @@
         this.spec = spec;
         this.queue = queue;
         this.queueDeadlines = QueueDeadlines.of(scope.route(), scope.arrived(), scope.deadline());
+        this.placements = new PlacementFinder(context, scope, spec, queueDeadlines);
         this.response = new StreamResponse(context, scope);
     }
 
@@ -110,7 +98,7 @@
         Optional<EnginePlacement> placement = findPlacement();
         if (placement.isPresent()) {
             place(placement.get());
-        } else if (servers().isEmpty()) {
+        } else if (placements.servers().isEmpty()) {
             giveUp(RefusalReason.NO_SERVER, "the service has no usable backend server; retry later");
         } else if (!queue.offer(scope.service(), this, scope.route(), queueDeadlines)) {
             giveUp(RefusalReason.NO_CAPACITY, "the queue of the service is full; retry later");
@@ -140,10 +128,7 @@
 
     /** Refuses the request if no server that could decode it takes anything now; returns whether it was refused. */
     boolean refuseIfAllPaused() {
-        List<ServerEntry> decodeServers = servers().stream()
-                .filter(server -> server.stage() != ServerStage.PREFILL)
-                .toList();
-        Optional<Duration> pauseEnd = context.limiter().firstPauseEnd(decodeServers, context.now());
+        Optional<Duration> pauseEnd = placements.firstPauseEnd();
         if (pauseEnd.isEmpty() || response.started()) {
             return false;
         }
@@ -157,27 +142,9 @@
         return true;
     }
 
-    private List<ServerEntry> servers() {
-        return context.directory().usable(scope.service());
-    }
-
     /** Returns the servers to which the request can be sent now; empty if it has to wait. */
     Optional<EnginePlacement> findPlacement() {
-        Duration now = context.now();
-        Duration within = queueDeadlines.onTimeUntil().minus(now);
-        boolean onTime = within.isPositive();
-        if (!onTime) {
-            within = Duration.ofNanos((long) (scope.route().latencyTarget().toNanos() * LATE_REQUEST_TARGET_SHARE));
-        }
-        EnginePlacement placement = context.engineBalancer()
-                .choose(
-                        servers(),
-                        spec,
-                        scope.caller().tokens(),
-                        excludedServers,
-                        new PlacementTarget(within, scope.route().gapTarget(), onTime),
-                        now);
-        return placement instanceof EnginePlacement.NoCapacity ? Optional.empty() : Optional.of(placement);
+        return placements.find();
     }
 
     /** Starts to serve the request at the servers of a placement. */
@@ -188,7 +155,8 @@
                 decode = newDecode(split.decode(), split.firstToken());
                 prefill = new PrefillStep(
                         context, this, context.calls().acquire(split.prefill(), CallKind.PREFILL), split.firstToken());
-                if (spec.reservationTtl().isPositive() && !isLimited(split.decode())) {
+                // A reservation would use up a permit; without one, the server may reject the decode instead.
+                if (spec.reservationTtl().isPositive() && !placements.isLimited(split.decode())) {
                     reservation = new ReservationStep(context, this, split.decode(), split.firstToken());
                     reservation.start();
                 } else {
@@ -210,11 +178,6 @@
         return new DecodeStep(context, this, context.calls().acquire(server, CallKind.DECODE), firstToken);
     }
 
-    /** A reservation would use up a permit; without one, the server may reject the decode instead. */
-    private boolean isLimited(ServerEntry server) {
-        return context.limiter().limit(ServerRun.of(server)).isPresent();
-    }
-
     /** Gives the request up because its maximum queueing time has passed. */
     void waitTimedOut() {
         giveUp(
@@ -250,7 +213,7 @@
 
     /** Places the request anew, at another decode server, after a reservation call failed. */
     void reservationFailed(ServerEntry server) {
-        excludedServers.add(server.id());
+        placements.exclude(server);
         reservationRejected();
     }
 
@@ -271,6 +234,9 @@
     private void decodeWithheld() {
         ServerEntry server = decode.server();
         String detail = "the server has asked for a pause";
+        if (leaveToSilent(server, detail)) {
+            return;
+        }
         releaseReservation();
         decode.release();
         decode = null;
@@ -283,11 +249,9 @@
 
     /** Retries the request after its prefill failed; the decode server has not executed anything. */
     void prefillFailed(ServerEntry server, String detail) {
-        excludedServers.add(server.id());
+        placements.exclude(server);
         prefill = null;
-        if (silent != null) {
-            logAttemptFailed(server, detail, false);
-            goOnWithSilent();
+        if (leaveToSilent(server, detail)) {
             return;
         }
         releaseReservation();
@@ -301,12 +265,12 @@
         ServerEntry server = failed.server();
         failed.recordOutcome(verdict);
         if (silent != null) {
-            excludedServers.add(server.id());
-            logAttemptFailed(server, detail, false);
+            placements.exclude(server);
             if (failed == silent) {
+                logAttemptFailed(server, detail, false);
                 silent = null;
             } else {
-                goOnWithSilent();
+                leaveToSilent(server, detail);
             }
             return;
         }
@@ -317,9 +281,9 @@
         releasePrefill();
         if (cacheLost) {
             context.serverHealth().recordAnswer(prefill.server(), true, Duration.ZERO, context.now());
-            excludedServers.add(prefill.server().id());
+            placements.exclude(prefill.server());
         } else {
-            excludedServers.add(server.id());
+            placements.exclude(server);
         }
         retryOrGiveUp(server, verdict, detail);
     }
@@ -332,10 +296,7 @@
                 || context.crashGuard().find(scope.identity()).isPresent()) {
             return false;
         }
-        Set<ServerId> others = new HashSet<>(excludedServers);
-        others.add(rejectingServer.id());
-        Optional<ServerEntry> other = context.engineBalancer()
-                .chooseDecode(servers(), spec, scope.caller().tokens(), others, context.now());
+        Optional<ServerEntry> other = placements.findDecodeOtherThan(rejectingServer);
         if (other.isEmpty()
                 || !context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now())) {
             return false;
@@ -364,7 +325,7 @@
             return;
         }
         step.recordOutcome(step.verdict());
-        excludedServers.add(step.server().id());
+        placements.exclude(step.server());
         Optional<EnginePlacement> placement = mayRetry(step.verdict()) ? findPlacement() : Optional.empty();
         boolean repeated = placement.isPresent()
                 && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
@@ -402,6 +363,13 @@
         return true;
     }
 
+    private boolean leaveToSilent(ServerEntry failed, String detail) {
+        if (silent != null) {
+            logAttemptFailed(failed, detail, false);
+        }
+        return goOnWithSilent();
+    }
+
     private void dropPrefill() {
         if (prefill != null) {
             prefill.abandon();
