Let the first answer to a safe request win

Where a sound server paused, callers of safe requests got the error of a second server, or 504: the first attempt was given up as soon as the second was sent, although it would have answered. Its server was ejected after 0.3 s of silence, and with it all servers that paused in the same second.

Now the first attempt goes on beside the second, where the route and the retry budget allow one; the first answer wins and the other attempt is closed. An attempt that fails while another is in progress leaves the request to it. A silent server is less preferred; it is ejected when it has been silent for half of the time that the request had (or four times its mean latency), for unsafe requests too, which did not count before their deadline. A server that can't be connected to is ejected as before. While a connection is being opened nothing counts as run yet, so that no outcome is recorded too early.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -1,6 +1,7 @@
 package org.mangoridge.gateway.exchange;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -57,7 +58,9 @@
     private final GatewayContext context;
     private final RequestScope scope;
     private final Set<ServerId> tried = new HashSet<>();
-    private PlainAttempt current;
+    /** The attempts in progress; more than one while a silent server may still answer first. */
+    private final List<PlainAttempt> running = new ArrayList<>();
+
     private ScheduledFuture<?> deadlineTimer;
     private boolean ended;
 
@@ -107,27 +110,34 @@
                 Field.of("server", server.id()),
                 Field.of("server_busy", busy),
                 Field.of("error_share", context.serverHealth().errorShare(server.id(), context.now())));
-        current = new PlainAttempt(context.calls().acquire(server, CallKind.PLAIN));
-        current.start();
+        PlainAttempt attempt = new PlainAttempt(context.calls().acquire(server, CallKind.PLAIN));
+        running.add(attempt);
+        attempt.start();
     }
 
     private void callerDisconnected() {
-        scope.log(LogEvent.CALLER_GONE, Field.of("server", current == null ? "none" : current.server.id()));
+        scope.log(
+                LogEvent.CALLER_GONE,
+                Field.of(
+                        "server",
+                        running.isEmpty() ? "none" : running.getLast().server.id()));
         end();
-        if (current != null) {
-            current.abandon();
-        }
+        abandonAll();
+    }
+
+    private void abandonAll() {
+        List.copyOf(running).forEach(PlainAttempt::abandon);
     }
 
     private void deadlinePassed() {
         if (ended) {
             return;
         }
-        if (current != null) {
-            current.recordOutcome(current.verdict());
-            current.recordTimeoutIfNoResponse();
-            current.abandon();
+        for (PlainAttempt attempt : running) {
+            attempt.recordOutcome(attempt.verdict());
+            attempt.recordTimeoutIfNoResponse();
         }
+        abandonAll();
         giveUp(RefusalReason.DEADLINE, "no response before the deadline of the request");
     }
 
@@ -166,11 +176,20 @@
         return next.compareTo(soon) > 0 ? next : soon;
     }
 
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
     private void end() {
         ended = true;
         deadlineTimer.cancel(false);
     }
 
+    /** Retries the request if that is allowed and possible, or leaves it to an attempt in progress; else returns false. */
+    private boolean retryOrLeaveToOther(Verdict last, ServerId server, String cause) {
+        return retry(last, server, cause) || !running.isEmpty();
+    }
+
     /** Sends the request to another server if a retry is allowed and possible; otherwise returns false. */
     private boolean retry(Verdict last, ServerId server, String cause) {
         boolean allowed = RetryDecision.mayRetry(
@@ -179,15 +198,16 @@
                 scope.runs(),
                 scope.sends(),
                 scope.route().maxAttempts());
-        List<ServerEntry> servers = context.directory().usable(scope.service());
+        Optional<ServerEntry> next =
+                context.plainBalancer().choose(context.directory().usable(scope.service()), tried, context.now());
         boolean retrying = allowed
                 && !ended
                 && !context.crashGuard().implicates(scope.identity())
-                && context.plainBalancer().choose(servers, tried, context.now()).isPresent()
+                && next.isPresent()
                 && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
         scope.logAttemptFailed(server, cause, Field.of("repeated", retrying));
         if (retrying) {
-            place();
+            send(next.get());
         }
         return retrying;
     }
@@ -200,11 +220,13 @@
         private final Duration started;
         private UpstreamCall call;
         private ScheduledFuture<?> retryTimer;
+        private ScheduledFuture<?> silenceTimer;
         private HttpResponse head;
         private ServerReply reply;
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private boolean closed;
         private boolean outcomeRecorded;
+        private boolean timeoutRecorded;
 
         PlainAttempt(SendPermit permit) {
             this.server = permit.server();
@@ -221,6 +243,8 @@
                     scope.remainingTime(),
                     new AttemptWork.FullRequest(),
                     OptionalLong.empty());
+            Duration silenceLimit = max(retryDelay(), scope.remainingTime().dividedBy(2));
+            silenceTimer = context.schedule(silenceLimit, this::recordTimeoutIfNoResponse);
             if (scope.route().repeat().allowsRerun()) {
                 retryTimer = context.schedule(retryDelay(), this::onRetryDelayPassed);
             }
@@ -234,7 +258,7 @@
 
         private Duration retryDelay() {
             double usual = context.serverHealth().meanLatencyMillis(server.id()) * RETRY_DELAY_FACTOR;
-            return usual > MIN_RETRY_DELAY.toMillis() ? Duration.ofMillis((long) usual) : MIN_RETRY_DELAY;
+            return max(Duration.ofMillis((long) usual), MIN_RETRY_DELAY);
         }
 
         Verdict verdict() {
@@ -249,7 +273,8 @@
         }
 
         void recordTimeoutIfNoResponse() {
-            if (head == null) {
+            if (head == null && !timeoutRecorded) {
+                timeoutRecorded = true;
                 recordTimeout();
             }
         }
@@ -259,11 +284,13 @@
                 return;
             }
             Verdict last = verdict();
-            recordOutcome(last);
-            recordTimeout();
-            if (retry(last, server.id(), "no answer yet")) {
-                abandon();
+            if (last == Verdict.NOT_RUN) {
+                retryTimer = context.schedule(retryDelay(), this::onRetryDelayPassed);
+                return;
             }
+            recordOutcome(last);
+            context.serverHealth().recordSilence(server.id(), context.now());
+            retry(last, server.id(), "no answer yet; the attempt goes on");
         }
 
         private void recordTimeout() {
@@ -289,6 +316,8 @@
                 return false;
             }
             closed = true;
+            running.remove(this);
+            silenceTimer.cancel(false);
             if (retryTimer != null) {
                 retryTimer.cancel(false);
             }
@@ -363,7 +392,7 @@
                 context.calls().evict(server.address());
                 context.log().log(LogEvent.SERVER_GONE, Field.of("server", server.id()), Field.of("cause", "replaced"));
             }
-            if (!retry(Verdict.NOT_RUN, server.id(), "rejected with " + reply.status())) {
+            if (!retryOrLeaveToOther(Verdict.NOT_RUN, server.id(), "rejected with " + reply.status())) {
                 giveUp(
                         RefusalReason.NO_CAPACITY,
                         "the backend server rejected the request and it could not be retried");
@@ -376,7 +405,7 @@
                 forward(whole);
                 return;
             }
-            if (retry(Verdict.RAN, server.id(), "answered " + reply.status())) {
+            if (retryOrLeaveToOther(Verdict.RAN, server.id(), "answered " + reply.status())) {
                 whole.release();
             } else if (reply.isUnverifiedSuccess() || impliesNotRun()) {
                 whole.release();
@@ -395,6 +424,9 @@
 
         private void forward(ByteBuf whole) {
             end();
+            abandonAll();
+            scope.recordCall(call);
+            scope.recordHead(reply);
             scope.exchange()
                     .respond(
                             HttpResponseStatus.valueOf(reply.status()),
@@ -419,7 +451,7 @@
                 context.serverHealth().recordAnswer(server, true, context.now().minus(started), context.now());
                 context.crashGuard().brokenOff(server, scope.identity());
             }
-            if (!retry(last, server.id(), failure.detail())) {
+            if (!retryOrLeaveToOther(last, server.id(), failure.detail())) {
                 giveUp(
                         RefusalReason.SERVER_FAILED,
                         "the backend server did not respond and the request could not be retried");
