Apply all changes of an answer, also after one that failed

What callers would see: requests sent to a server that had left, or none to a new one, since the change of its entry was lost with an odd change before it in the same answer of the store.

Cause: Follower continued the watch past a failing listener, from the revision of the answer, but left the changes behind the failed one unapplied; no later watch returns them. A removed entry whose name can't be read makes the listener fail.

Each change is applied by itself, and the first failure is thrown after the last change, so that it still shows.

Evidence: FollowerTest.theOtherChangesOfAnAnswerTakeEffectAfterOneThatFailed. Before: FollowerTest.theOtherChangesOfAnAnswerTakeEffectAfterOneThatFailed:259 expected to be empty but was: [a]

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/follow/Follower.java
@@ -196,12 +196,33 @@
                 watch(callEpoch);
             }
         });
-        for (FeedChanges.Change<T> change : changes.changes()) {
-            switch (change) {
-                case FeedChanges.Change.Put<T> put -> listener.put(put.item());
-                case FeedChanges.Change.Removed<T> removed -> listener.removed(removed.name());
+        applyAll(changes.changes());
+    }
+
+    /** Applies all changes, also those after one at which the listener fails, and then throws what it threw first. */
+    private void applyAll(List<FeedChanges.Change<T>> changes) {
+        RuntimeException first = null;
+        for (FeedChanges.Change<T> change : changes) {
+            try {
+                apply(change);
+            } catch (RuntimeException e) {
+                if (first == null) {
+                    first = e;
+                } else {
+                    first.addSuppressed(e);
+                }
             }
         }
+        if (first != null) {
+            throw first;
+        }
+    }
+
+    private void apply(FeedChanges.Change<T> change) {
+        switch (change) {
+            case FeedChanges.Change.Put<T> put -> listener.put(put.item());
+            case FeedChanges.Change.Removed<T> removed -> listener.removed(removed.name());
+        }
     }
 
     private void watchFailed(FeedFailure failure, int callEpoch) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/FollowerTest.java
@@ -246,4 +246,16 @@
         timers.forEach(Runnable::run);
         assertThat(feed.calls.getLast()).isEqualTo("watch 12");
     }
+
+    /** Guards against one change that fails and takes the changes after it, of other objects, along: they were lost. */
+    @Test
+    void theOtherChangesOfAnAnswerTakeEffectAfterOneThatFailed() {
+        listed(9, "a");
+        listener.failing = true;
+        assertThrows(
+                IllegalStateException.class,
+                () -> feed.watch.accept(Result.ok(new FeedChanges<>(
+                        List.of(new FeedChanges.Change.Put<>("b"), new FeedChanges.Change.Removed<>("a")), 12, 12))));
+        assertThat(listener.items).isEmpty();
+    }
 }
