Cut long texts in log lines

What operators would see: lines of a megabyte for each read of an entry whose name, state or address has that length.

Cause: JsonEventLog wrote texts from outside at any length; the bound of its queue counts lines.

A text is cut after 1,024 characters, and the line says how many there were.

Evidence: JsonEventLogTest.longTextsAreCut. Before: expected to be less than: 4096 but was : 1048701

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/log/JsonEventLog.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/log/JsonEventLog.java
@@ -33,6 +33,7 @@
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final long DRAIN_TIMEOUT_MILLIS = 200;
+    private static final int MAX_TEXT_LENGTH = 1024;
 
     private final Clock clock;
     private final String instance;
@@ -128,10 +129,17 @@
             case OptionalLong number when number.isPresent() -> json.writeNumberField(field.name(), number.getAsLong());
             case OptionalLong none -> json.writeNullField(field.name());
             case Boolean flag -> json.writeBooleanField(field.name(), flag);
-            default -> json.writeStringField(field.name(), String.valueOf(field.value()));
+            default -> json.writeStringField(field.name(), shortened(String.valueOf(field.value())));
         }
     }
 
+    /** Cuts a text that came from outside; the queue must hold its lines in little memory. */
+    private static String shortened(String text) {
+        return text.length() <= MAX_TEXT_LENGTH
+                ? text
+                : text.substring(0, MAX_TEXT_LENGTH) + "... (" + text.length() + " characters)";
+    }
+
     private void writeAll() {
         boolean draining = false;
         StringBuilder batch = new StringBuilder();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/log/JsonEventLogTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/log/JsonEventLogTest.java
@@ -29,6 +29,17 @@
                                 + "\"code\":\"MR-204\",\"event\":\"request placed\",\"request\":\"r-\\\"1\\\"\",\"sends\":2}\n");
     }
 
+    /** Guards against a name of a megabyte from another writer that fills the memory through the queue of lines. */
+    @Test
+    void longTextsAreCut() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonEventLog log = JsonEventLog.start(clock, "entry-1", out);
+        log.log(LogEvent.SERVER_ENTRY_UNREADABLE, Field.of("server", "s".repeat(1 << 20)));
+        log.drain();
+        assertThat(out.size()).isLessThan(4096);
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("1048576 characters");
+    }
+
     @Test
     void informationalLinesAreRateLimitedAndWarningsAreNot() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
