Use no entry that a server can't have written

What callers would see: requests placed at a server that can't exist. An entry of another writer with a port of 0, with 10^9 slots or with a host name was taken for a server: it drew work, or its name was looked up on the event loop. An entry's name with a line break or beyond ASCII became the header Expected-Instance, which can't be written or matches no server. A "born" of 1e300 counted as a run later than all, one of 23 digits as a run at some other time.

Cause: ServerDecoder checked the types of some fields and the values of few; numbers were converted as they came.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/Checks.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/Checks.java
@@ -3,6 +3,9 @@
 /** Argument checks with a message that names the argument. */
 public final class Checks {
 
+    private static final int MAX_IDENTIFIER_LENGTH = 256;
+    private static final int DELETE_CHARACTER = 0x7f;
+
     private Checks() {}
 
     /**
@@ -29,6 +32,24 @@
         return value;
     }
 
+    /**
+     * Returns {@code value} if it can be written in a header, a log line and a message: 1 to 256 visible ASCII characters.
+     *
+     * @throws IllegalArgumentException if it can't; the message does not contain the value
+     */
+    public static String identifier(String value, String name) {
+        argument(
+                value != null && value.length() <= MAX_IDENTIFIER_LENGTH && !value.isEmpty(),
+                "%s must have 1 to %d characters",
+                name,
+                MAX_IDENTIFIER_LENGTH);
+        argument(
+                value.chars().allMatch(each -> each > ' ' && each < DELETE_CHARACTER),
+                "%s must consist of visible ASCII characters",
+                name);
+        return value;
+    }
+
     /**
      * Checks a condition on an argument.
      *
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
@@ -33,12 +33,15 @@
     /** The sequence of an entry that does not state one. */
     public static final long UNKNOWN_SEQUENCE = -1;
 
+    /** Bounds the slots, far above those of any server, so that no sum over servers overflows and none draws all work. */
+    private static final int MAX_SLOTS = 1 << 16;
+
     public ServerEntry {
         Checks.notNull(id, "id");
         Checks.notNull(service, "service");
         Checks.notNull(address, "address");
         Checks.notNull(zone, "zone");
-        Checks.argument(slots > 0, "slots must be positive: %d", slots);
+        Checks.argument(slots > 0 && slots <= MAX_SLOTS, "slots must be between 1 and %d: %d", MAX_SLOTS, slots);
         Checks.notNull(stage, "stage");
     }
 
