Limit the time of a call that releases a reservation or a KV cache

What callers saw: nothing. Found in the review by reading: a release at a server that never answers had no time limit, so that its connection stayed open for good, and each further release opened one more.

Cause: ReleaseListener set no timer; the other calls of a request do. A release is now given up when the server would have released the memory by itself; its failure is logged as that of any other release.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -150,7 +150,9 @@
 
     private void releaseCache() {
         context.metrics().count("prefills.unused");
-        ReleaseListener.release(context, server, context.dialect().cacheReleasePath(handle), "release KV cache");
+        String path = context.dialect().cacheReleasePath(handle);
+        ReleaseListener.release(
+                context, server, path, "release KV cache", exchange.spec().kvHandleTtl());
     }
 
     @Override
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -98,7 +98,7 @@
         } else if (reservation.isPresent()) {
             String path = context.dialect().reservationReleasePath(reservation.get());
             reservation = Optional.empty();
-            ReleaseListener.release(context, server, path, "release reservation");
+            ReleaseListener.release(context, server, path, "release reservation", duration);
         }
     }
 
