Send no new requests to a server that says in an answer that it leaves

Cause: nothing read the word; only the entry in the store counted.

Every answer to a call is read in ServerCalls. ServerDirectory treats the run as leaving from then on, whatever its entry says, until an entry of a later run comes. What runs there, or was placed there, goes on.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
@@ -25,6 +26,8 @@
  * <p>A store that was restored from a copy lists entries as they were before: servers that drain as ready, and servers
  * that have left. Such entries change nothing; a run of a server that drains or has left is not used again unless it
  * writes a newer entry.
+ *
+ * <p>A run that has said in an answer that it leaves is leaving, whatever its entry says.
  */
 public final class ServerDirectory {
 
@@ -43,6 +46,7 @@
     /** The last entries of servers that left, for {@link #DEPARTED_RETENTION}; the oldest first. */
     private final Map<ServerId, Departed> departed = new LinkedHashMap<>();
 
+    private final LeavingRuns leavingRuns = new LeavingRuns(DEPARTED_RETENTION);
     private final Map<ServiceId, List<ServerEntry>> usableByService = new HashMap<>();
     private Duration relistingUntil = Duration.ZERO;
     /** The latest time at which the store certainly could not be reached; null if it is reachable. */
@@ -119,7 +123,8 @@
      *
      * <p>An entry that was written before the known one is ignored, and a run that drains does not become usable again.
      */
-    public Optional<ServerEntry> put(ServerEntry entry) {
+    public Optional<ServerEntry> put(ServerEntry written) {
+        ServerEntry entry = leavingRuns.contains(ServerRun.of(written)) ? written.withLeaving() : written;
         ServerEntry before = entries.get(entry.id());
         if (before == null && isDeparted(entry)) {
             return Optional.empty();
@@ -135,6 +140,29 @@
         return ceased ? Optional.of(entry) : Optional.empty();
     }
 
+    /**
+     * Records that a run of a server has said that it leaves; returns whether that is new.
+     *
+     * @param age how long ago it said so
+     */
+    public boolean announceLeaving(ServerRun run, Duration age, Duration now) {
+        ServerEntry entry = entries.get(run.server());
+        boolean listed = entry != null && entry.startedMillis() == run.startedMillis();
+        if (!listed && age.compareTo(DEPARTED_RETENTION) > 0 || !leavingRuns.add(run, now.minus(age))) {
+            return false;
+        }
+        if (listed) {
+            entries.put(run.server(), entry.withLeaving());
+            usableByService.clear();
+        }
+        return true;
+    }
+
+    /** Returns the runs that have said that they leave, the last learnt first. */
+    public List<LeavingRun> leavingRuns(Duration now) {
+        return leavingRuns.all(now);
+    }
+
     private boolean isDeparted(ServerEntry entry) {
         Departed known = departed.get(entry.id());
         return known != null && entry.isNotNewerThan(known.last());
@@ -173,6 +201,9 @@
     /** Removes and returns the servers whose entries disappeared and were not listed again in time. */
     public List<ServerEntry> expire(Duration now) {
         departed.values().removeIf(each -> now.compareTo(each.until()) >= 0);
+        if (!leavingRuns.isEmpty()) {
+            leavingRuns.expire(entries.values().stream().map(ServerRun::of).collect(Collectors.toSet()), now);
+        }
         List<ServerEntry> gone = new ArrayList<>();
         for (Map.Entry<ServerId, Duration> each : List.copyOf(missingUntil.entrySet())) {
             if (now.compareTo(each.getValue()) >= 0) {
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerEntry.java
@@ -50,6 +50,11 @@
         return new ServerEntry(id, service, address, zone, slots, leaving, other, startedMillis, sequence);
     }
 
+    /** Returns a copy that drains. */
+    ServerEntry withLeaving() {
+        return new ServerEntry(id, service, address, zone, slots, true, stage, startedMillis, sequence);
+    }
+
     /** Tells whether this entry was written before {@code other}, by the same run or an earlier one. */
     boolean isOlderThan(ServerEntry other) {
         if (startedMillis != other.startedMillis) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -165,4 +165,56 @@
         directory.put(entry("s-1", false, startedMillis, sequence));
         assertThat(usable()).containsExactly("s-1", "s-2");
     }
+
+    /** The entry of a server that says in its answers that it leaves may say ready for long. */
+    @Test
+    void aRunThatSaidThatItLeavesStaysUnusableWhateverItsEntrySays() {
+        assertThat(directory.announceLeaving(run("s-1", 1), Duration.ZERO, START))
+                .isTrue();
+        assertThat(directory.announceLeaving(run("s-1", 1), Duration.ZERO, START))
+                .isFalse();
+        assertThat(usable()).containsExactly("s-2");
+        directory.put(entry("s-1", false, 1, 9));
+        assertThat(usable()).containsExactly("s-2");
+        directory.remove(ServerId.of("s-1"), AFTER_GRACE);
+        directory.put(entry("s-1", false, 1, 10));
+        assertThat(usable()).containsExactly("s-2");
+        directory.drop(ServerId.of("s-1"));
+        directory.replaceAll(List.of(entry("s-1", false, 1, 11), entry("s-2", false, 1)), AFTER_GRACE);
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    @Test
+    void aNewRunIsUsableAndALateWordOfTheOldOneChangesNothing() {
+        directory.announceLeaving(run("s-1", 1), Duration.ZERO, START);
+        directory.put(entry("s-1", false, 2));
+        assertThat(usable()).containsExactly("s-1", "s-2");
+        directory.announceLeaving(run("s-1", 1), Duration.ZERO, START);
+        assertThat(usable()).containsExactly("s-1", "s-2");
+    }
+
+    /** A peer may tell of a run before its entry is known here, and after it is gone. */
+    @ParameterizedTest
+    @CsvSource({"0, false", "200, false", "301, true"})
+    void aWordOfARunThatIsNotListedYetHoldsForAWhile(long ageSeconds, boolean usable) {
+        directory.announceLeaving(run("s-3", 1), Duration.ofSeconds(ageSeconds), START);
+        directory.expire(START);
+        directory.put(entry("s-3", false, 1));
+        assertThat(usable().contains("s-3")).isEqualTo(usable);
+    }
+
+    @Test
+    void theWordIsToldWithItsAgeAndForgottenWithTheServer() {
+        directory.announceLeaving(run("s-1", 1), Duration.ofSeconds(2), START);
+        Duration later = START.plus(ServerDirectory.DEPARTED_RETENTION).plusSeconds(1);
+        directory.expire(later);
+        assertThat(directory.leavingRuns(START)).containsExactly(new LeavingRun(run("s-1", 1), Duration.ofSeconds(2)));
+        directory.remove(ServerId.of("s-1"), later);
+        directory.expire(later);
+        assertThat(directory.leavingRuns(later)).isEmpty();
+    }
+
+    private static ServerRun run(String id, long startedMillis) {
+        return new ServerRun(ServerId.of(id), startedMillis);
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -13,8 +13,10 @@
 import org.mangoridge.core.Result;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
+import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
@@ -39,21 +41,24 @@
     private final Clock clock;
     private final WireDialect dialect;
     private final ServerRateLimiter limiter;
+    private final ServerDirectory directory;
     private final GatewayMetrics metrics;
     private final EventSink log;
-    private Runnable onLimitChange = () -> {};
+    private Runnable onAnnouncement = () -> {};
 
     private ServerCalls(
             UpstreamPool pool,
             Clock clock,
             WireDialect dialect,
             ServerRateLimiter limiter,
+            ServerDirectory directory,
             GatewayMetrics metrics,
             EventSink log) {
         this.pool = pool;
         this.clock = clock;
         this.dialect = dialect;
         this.limiter = limiter;
+        this.directory = directory;
         this.metrics = metrics;
         this.log = log;
     }
@@ -64,14 +69,15 @@
             Clock clock,
             WireDialect dialect,
             ServerRateLimiter limiter,
+            ServerDirectory directory,
             GatewayMetrics metrics,
             EventSink log) {
-        return new ServerCalls(pool, clock, dialect, limiter, metrics, log);
+        return new ServerCalls(pool, clock, dialect, limiter, directory, metrics, log);
     }
 
-    /** Sets the task that runs when an answer has changed what is known of a limit. */
-    public void onLimitChange(Runnable task) {
-        onLimitChange = task;
+    /** Sets the task that runs when an answer has changed what peers are told of servers. */
+    public void onAnnouncement(Runnable task) {
+        onAnnouncement = task;
     }
 
     /** Returns the permit for a call to a server that a balancer chose, which asks the limiter before. */
@@ -109,6 +115,19 @@
         return pool.call(request, new AnnouncementReader(permit, listener));
     }
 
+    private void leavingAnnounced(ServerRun run) {
+        if (directory.announceLeaving(run, Duration.ZERO, clock.elapsed())) {
+            logLeaving(run, "server");
+            onAnnouncement.run();
+        }
+    }
+
+    private void logLeaving(ServerRun run, String toldBy) {
+        metrics.count("servers.leaving_announced");
+        directory.find(run.server()).ifPresent(server -> pool.evict(server.address()));
+        log.log(LogEvent.SERVER_LEAVING, Field.of("server", run.server()), Field.of("told_by", toldBy));
+    }
+
     /** Adds what a peer told of limits; returns whether that changes what is known. */
     public boolean mergeLimits(List<LimitStatus> told) {
         Set<ServerRun> changed = limiter.merge(told, clock.elapsed());
@@ -193,9 +212,22 @@
         public void head(HttpResponse response) {
             readLimit(response);
             readPause(response);
+            readLeaving(response);
             listener.head(response);
         }
 
+        private void readLeaving(HttpResponse response) {
+            if (dialect.announcesLeaving(response.headers())) {
+                ServerRun asked = ServerRun.of(permit.server());
+                Optional<ServerId> answeredBy = dialect.readReply(response).answeredBy();
+                if (answeredBy.isEmpty() || answeredBy.get().equals(asked.server())) {
+                    leavingAnnounced(asked);
+                } else {
+                    directory.find(answeredBy.get()).map(ServerRun::of).ifPresent(ServerCalls.this::leavingAnnounced);
+                }
+            }
+        }
+
         private void readPause(HttpResponse response) {
             Result<Optional<Duration>, String> requested = dialect.readRequestedPause(response);
             if (!requested.isOk()) {
@@ -238,7 +270,7 @@
                         Field.of("detail", announced.error()));
             } else if (limiter.recordAnswer(server, announced.value(), sentAt, clock.elapsed())) {
                 logLimit(ServerRun.of(server), "server");
-                onLimitChange.run();
+                onAnnouncement.run();
             }
         }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/WireDialect.java
@@ -50,6 +50,9 @@
      */
     Result<Optional<Duration>, String> readRequestedPause(HttpResponse head);
 
+    /** Returns whether the server that answers says that it leaves. */
+    boolean announcesLeaving(HttpHeaders headers);
+
     /** Reads the body of a prefill server's response; empty if the body is malformed. */
     Optional<PrefillResponse> readPrefillResponse(byte[] body);
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -122,7 +122,7 @@
         this.loadGossip = LoadGossipTransport.create(
                 context, origin(settings, clock), peers, this::storeVersions, this::catchUpWithPeers);
         context.crashGuard().onObservedCrash(loadGossip::evidenceObserved);
-        context.calls().onLimitChange(loadGossip::evidenceObserved);
+        context.calls().onAnnouncement(loadGossip::evidenceObserved);
         loads.onOwnChange(loadGossip::loadChanged);
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
@@ -182,7 +182,7 @@
         ServerHealthTracker tracks = ServerHealthTracker.create();
         PrefillTimeEstimator pace = PrefillTimeEstimator.create();
         ServerRateLimiter limiter = ServerRateLimiter.create(settings.instance());
-        ServerCalls calls = ServerCalls.create(pool, clock, dialect, limiter, metrics, log);
+        ServerCalls calls = ServerCalls.create(pool, clock, dialect, limiter, directory, metrics, log);
         RetryBudget budget =
                 RetryBudget.create(settings.retryRatio(), settings.retryAllowance(), settings.retryWindow());
         return new GatewayContext(
