Fail an attempt at once whose answer follows bytes of unknown extent

Callers waited until their deadline, and got 504, though their server had answered.

Cause: the rest of a dropped answer of another request was skipped up to its end. Without a length and chunks it ends with the connection, so the copy swallowed the answer behind it. With HEAD the body of a copy was decoded as the next response. And a connection on which an answer had a length and chunks both was used again, though such an answer has no certain end.

AnswerFramingTest.

bytesOfUnknownExtentFailTheAttemptAtOnce [copy without a length] expected: 502 but was : 504 bytesOfUnknownExtentFailTheAttemptAtOnce [HEAD] expected to contain: names another request but was : response head is not valid HTTP aConnectionWithAnAnswerOfLengthAndChunksIsNotReused expected: 1 but was : 20

The attempt now fails as "may have run" when a dropped answer has no certain end, and chunks with a length make the connection unfit for reuse. The cases of two different lengths, a body after a 1xx and a broken chunk passed before.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
@@ -14,11 +14,17 @@
 
     private boolean bodiless;
     private boolean withinResponse;
+    private boolean ambiguousLength;
 
     ResponseDecoder(HttpDecoderConfig config) {
         super(config);
     }
 
+    /** Returns whether responses have no body whatever their headers say. */
+    boolean expectsBodiless() {
+        return bodiless;
+    }
+
     /** Sets whether responses have no body whatever their headers say, as those to a HEAD request. */
     void expectBodiless(boolean expected) {
         bodiless = expected;
@@ -29,6 +35,17 @@
         return withinResponse || actualReadableBytes() > 0;
     }
 
+    /** Returns whether a response had a length and chunks both. */
+    boolean hadAmbiguousLength() {
+        return ambiguousLength;
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        ambiguousLength = true;
+        super.handleTransferEncodingChunkedWithContentLength(message);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return bodiless || super.isContentAlwaysEmpty(message);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -205,18 +205,21 @@
                 return;
             }
         }
+        boolean hasFramedBody = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        boolean bodiless = head.status().code() == 204 || head.status().code() == 304;
         skippingResponse = answered.isPresent() && !answered.equals(requestId);
         if (skippingResponse) {
             pool.counters().foreign().inc();
             reusable = false;
             listener.foreignAnswerDropped();
+            if (listener != null && (!hasFramedBody && !bodiless || decoder.expectsBodiless())) {
+                fail(new CallFailure(progress, false, "response of unknown length names another request"));
+            }
             return;
         }
         progress = AttemptProgress.ANSWER_PARTLY_RECEIVED;
         listener.head(head);
-        boolean hasFramedBody = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        boolean bodiless = head.status().code() == 204 || head.status().code() == 304;
-        reusable &= HttpUtil.isKeepAlive(head) && (hasFramedBody || bodiless);
+        reusable &= HttpUtil.isKeepAlive(head) && (hasFramedBody || bodiless) && !decoder.hadAmbiguousLength();
         announcedIdleTimeout = KeepAliveHeader.timeout(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
     }
 
