Send callers of HTTP/1.0 streams without chunks, and break them off visibly

A caller of HTTP/1.0 got a stream in chunks, which that version does not know: chunk sizes stood in its text, and on a connection that it wanted kept it never saw the end. A stream that broke off ended like a complete one.

Such a response now ends with its connection, and is broken off by a reset, since the end of the connection would look like its own. aSecondResponseBreaksTheFirstOneOff passed before: two responses on one exchange do not mix.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -156,10 +156,11 @@
     }
 
     private void dispatch() {
+        boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_0) > 0;
         InboundRequest request = new InboundRequest(head.method(), head.uri(), head.headers(), body, headArrivedAt);
         head = null;
         body = Unpooled.EMPTY_BUFFER;
-        exchange = new FrontExchange(this, context, request, keepAlive);
+        exchange = new FrontExchange(this, context, request, keepAlive, chunksAllowed);
         handler.handle(exchange);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -26,6 +27,7 @@
     private final ChannelHandlerContext context;
     private final InboundRequest request;
     private final boolean keepAlive;
+    private final boolean chunksAllowed;
     private Runnable disconnectListener = () -> {};
     private Consumer<Boolean> writabilityListener = ignored -> {};
     private boolean started;
@@ -34,13 +36,20 @@
 
     private boolean ended;
     private boolean closeAfter;
+    /** Whether the response was begun without chunks, so that only a reset tells that it is not complete. */
+    private boolean endsWithConnection;
 
     FrontExchange(
-            FrontConnection connection, ChannelHandlerContext context, InboundRequest request, boolean keepAlive) {
+            FrontConnection connection,
+            ChannelHandlerContext context,
+            InboundRequest request,
+            boolean keepAlive,
+            boolean chunksAllowed) {
         this.connection = connection;
         this.context = context;
         this.request = request;
         this.keepAlive = keepAlive;
+        this.chunksAllowed = chunksAllowed;
     }
 
     @Override
@@ -76,13 +85,16 @@
         }
         started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        if (chunksAllowed) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        endsWithConnection = !chunksAllowed;
         setConnectionHeader(headers);
         send(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        closeAfter = !keepAlive || connection.draining();
+        closeAfter = !keepAlive || endsWithConnection || connection.draining();
         if (closeAfter) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -128,6 +140,9 @@
             sendUnsent();
             ended = true;
             connection.responseSent(this, true);
+            if (endsWithConnection) {
+                context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             context.close();
         }
     }
