Tell the other instances which servers say that they leave

What callers saw: a server that leaves by its own word alone kept getting requests from every instance until it had answered that one.

The word is told as limits are: at once, twice more, then every 1.5 s, and through relays, as a new optional list in the datagrams. Instances of the version before skip an unknown field. It has an age, so that instances do not remind each other of a run that is gone.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -16,6 +16,7 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
@@ -135,6 +136,16 @@
         return !changed.isEmpty();
     }
 
+    /** Adds what a peer told of servers that leave; returns whether any of it is new. */
+    public boolean mergeLeavingRuns(List<LeavingRun> told) {
+        List<ServerRun> added = told.stream()
+                .filter(leaving -> directory.announceLeaving(leaving.run(), leaving.age(), clock.elapsed()))
+                .map(LeavingRun::run)
+                .toList();
+        added.forEach(run -> logLeaving(run, "peer"));
+        return !added.isEmpty();
+    }
+
     private void logLimit(ServerRun run, String toldBy) {
         log.log(
                 LogEvent.SERVER_LIMIT_CHANGED,
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -21,6 +21,7 @@
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.limit.RateLimit;
@@ -31,6 +32,7 @@
 import org.mangoridge.gateway.thrift.LoadBatch;
 import org.mangoridge.gateway.thrift.LoadMessage;
 import org.mangoridge.gateway.thrift.ServerCrash;
+import org.mangoridge.gateway.thrift.ServerDeparture;
 import org.mangoridge.gateway.thrift.ServerLimit;
 import org.mangoridge.gateway.thrift.ServerShare;
 import org.mangoridge.gateway.thrift.ServiceDemand;
@@ -62,8 +64,14 @@
      * @param passOn whether the receiver is to forward them
      * @param evidence evidence of crashes of servers
      * @param limits limits of servers
+     * @param leavingRuns runs of servers that have said that they leave
      */
-    record Batch(List<byte[]> reports, boolean passOn, CrashEvidence evidence, List<LimitStatus> limits) {}
+    record Batch(
+            List<byte[]> reports,
+            boolean passOn,
+            CrashEvidence evidence,
+            List<LimitStatus> limits,
+            List<LeavingRun> leavingRuns) {}
 
     private LoadCodec() {}
 
@@ -135,6 +143,24 @@
         return write(new LoadBatch(List.of(), passOn).setLimits(encoded));
     }
 
+    static byte[] encodeLeavingRuns(List<LeavingRun> runs, boolean passOn) {
+        List<ServerDeparture> encoded = runs.stream()
+                .map(leaving -> new ServerDeparture(
+                        leaving.run().server().value(),
+                        leaving.run().startedMillis(),
+                        leaving.age().toMillis()))
+                .toList();
+        return write(new LoadBatch(List.of(), passOn).setDepartures(encoded));
+    }
+
+    private static List<LeavingRun> leavingRuns(LoadBatch batch) {
+        return batch.getDepartures().stream()
+                .map(departure -> new LeavingRun(
+                        new ServerRun(ServerId.of(departure.getServer()), departure.getStartedMillis()),
+                        Duration.ofMillis(departure.getAgeMillis())))
+                .toList();
+    }
+
     private static List<LimitStatus> limits(LoadBatch batch) {
         return batch.getLimits().stream()
                 .map(limit -> new LimitStatus(
@@ -184,7 +210,8 @@
         LoadBatch batch = new LoadBatch();
         try {
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
-            return Result.ok(new Batch(reports(batch), batch.isPassOn(), evidence(batch), limits(batch)));
+            return Result.ok(
+                    new Batch(reports(batch), batch.isPassOn(), evidence(batch), limits(batch), leavingRuns(batch)));
         } catch (TException | RuntimeException e) {
             // The library throws unchecked exceptions for some malformed messages.
             return Result.err(String.valueOf(e));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossip.java
@@ -16,6 +16,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
@@ -73,8 +74,8 @@
     private static final Duration MAX_FORWARD_INTERVAL = Duration.ofSeconds(1);
     /** Maximum size of the reports in one datagram; with headers it fits into an Ethernet MTU of 1,500 bytes. */
     private static final int MAX_BATCH_BYTES = 1200;
-    /** Maximum encoded size of the limit of a server without its id. */
-    private static final int MAX_LIMIT_BYTES = 40;
+    /** Maximum encoded size of what is told of a run of a server, without the server's id. */
+    private static final int MAX_RUN_BYTES = 40;
     /** Addresses without a live instance that are probed with each heartbeat in a mesh. */
     private static final int PROBES_IN_MESH = 64;
     /** The same for a relay; other instances of a large fleet probe none. */
@@ -86,6 +87,7 @@
     private final LocalState local;
     private final EvidencePages evidencePages = new EvidencePages();
     private final RotatingPage<LimitStatus> limitPages = new RotatingPage<>(MAX_BATCH_BYTES, LoadGossip::sizeOf);
+    private final RotatingPage<LeavingRun> leavingPages = new RotatingPage<>(MAX_BATCH_BYTES, LoadGossip::sizeOf);
     private final LoadCodec codec = LoadCodec.create();
     private final Outbox targetOutbox = new Outbox();
     private final Outbox subscriberOutbox = new Outbox();
@@ -145,10 +147,14 @@
     }
 
     private static int sizeOf(LimitStatus status) {
-        return status.run().server().value().length() + MAX_LIMIT_BYTES;
+        return status.run().server().value().length() + MAX_RUN_BYTES;
     }
 
-    /** Schedules evidence or limits that this instance has observed, or that a relay has received, to be told soon. */
+    private static int sizeOf(LeavingRun leaving) {
+        return leaving.run().server().value().length() + MAX_RUN_BYTES;
+    }
+
+    /** Schedules evidence, limits or departures that this instance has observed, or that a relay has received, to be told soon. */
     void evidenceChanged(Duration now) {
         Duration due = max(now.plus(URGENT_BATCH_DELAY), lastEvidence.plus(MIN_EVIDENCE_INTERVAL));
         nextEvidence = due.compareTo(nextEvidence) < 0 ? due : nextEvidence;
@@ -184,16 +190,21 @@
      * @param reports the reports that were not stale
      * @param evidence evidence of crashes of servers
      * @param limits limits of servers
+     * @param leavingRuns runs of servers that have said that they leave
      * @param error why the datagram, or the last undecodable report in it, could not be decoded; empty if all could
      */
     record Reception(
-            List<ReceivedReport> reports, CrashEvidence evidence, List<LimitStatus> limits, Optional<String> error) {}
+            List<ReceivedReport> reports,
+            CrashEvidence evidence,
+            List<LimitStatus> limits,
+            List<LeavingRun> leavingRuns,
+            Optional<String> error) {}
 
     /** Processes a datagram; an undecodable report does not affect the others. */
     Reception receive(byte[] bytes, HostPort from, Duration now) {
         Result<LoadCodec.Batch, String> batch = LoadCodec.decodeBatch(bytes);
         if (!batch.isOk()) {
-            return new Reception(List.of(), CrashEvidence.NONE, List.of(), Optional.of(batch.error()));
+            return new Reception(List.of(), CrashEvidence.NONE, List.of(), List.of(), Optional.of(batch.error()));
         }
         Optional<String> error = Optional.empty();
         boolean passOn = batch.value().passOn();
@@ -222,7 +233,12 @@
                 forward(new ReceivedReport(report, outcome), encoded, passOn, now);
             }
         }
-        return new Reception(received, batch.value().evidence(), batch.value().limits(), error);
+        return new Reception(
+                received,
+                batch.value().evidence(),
+                batch.value().limits(),
+                batch.value().leavingRuns(),
+                error);
     }
 
     /** Schedules a reply to a relay or new instance; a new one sends as in a mesh until replies tell it of its peers. */
@@ -323,6 +339,10 @@
         if (!limits.isEmpty()) {
             sendToAll(LoadCodec.encodeLimits(limits, passOn), datagrams);
         }
+        List<LeavingRun> leaving = leavingPages.next(local.leavingRuns());
+        if (!leaving.isEmpty()) {
+            sendToAll(LoadCodec.encodeLeavingRuns(leaving, passOn), datagrams);
+        }
     }
 
     private void sendToAll(byte[] bytes, List<Datagram> datagrams) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadGossipTransport.java
@@ -24,6 +24,7 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker.Urgency;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 import org.mangoridge.gateway.exchange.GatewayContext;
@@ -71,6 +72,11 @@
         public List<LimitStatus> limits() {
             return context.limiter().statuses(context.now());
         }
+
+        @Override
+        public List<LeavingRun> leavingRuns() {
+            return context.directory().leavingRuns(context.now());
+        }
     }
 
     private LoadGossipTransport(GatewayContext context, PeerTable table, LoadGossip gossip, Runnable onPeerLoadChange) {
@@ -127,7 +133,7 @@
         }
     }
 
-    /** Schedules evidence of a crash, or a limit of a server, that this instance has observed. */
+    /** Schedules evidence of a crash, or a limit or departure of a server, that this instance has observed. */
     public void evidenceObserved() {
         if (channel != null) {
             gossip.evidenceChanged(context.now());
@@ -204,6 +210,9 @@
         if (context.calls().mergeLimits(reception.limits()) && gossip.passesEvidenceOn()) {
             gossip.evidenceChanged(now);
         }
+        if (context.calls().mergeLeavingRuns(reception.leavingRuns()) && gossip.passesEvidenceOn()) {
+            gossip.evidenceChanged(now);
+        }
         for (LoadGossip.ReceivedReport received : reception.reports()) {
             LoadReport report = received.report();
             logMembershipChange(report, received.outcome(), from);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LocalState.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LocalState.java
@@ -6,6 +6,7 @@
 import org.mangoridge.core.id.ServerId;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
 import org.mangoridge.dispatch.quarantine.CrashEvidence;
 
@@ -26,4 +27,7 @@
 
     /** Returns what this instance knows of the limits of servers, the last changed first. */
     List<LimitStatus> limits();
+
+    /** Returns the runs of servers that have said that they leave, the last learnt first. */
+    List<LeavingRun> leavingRuns();
 }
--- a/mangoridge-gateway/src/main/thrift/load.thrift
+++ b/mangoridge-gateway/src/main/thrift/load.thrift
@@ -87,6 +87,15 @@
   5: required i64 silenceMillis
 }
 
+/** One run of a server that has said in an answer that it leaves. */
+struct ServerDeparture {
+  1: required string server
+  /** When the run started, as Unix milliseconds. */
+  2: required i64 startedMillis
+  /** How long ago it was first heard to say so. */
+  3: required i64 ageMillis
+}
+
 /** Several reports in one datagram; each is an encoded LoadMessage, so that a relay need not encode it again. */
 struct LoadBatch {
   1: required list<binary> reports
@@ -98,4 +107,6 @@
   4: optional list<SoundPart> soundParts = []
   /** Limits of servers that the sender knows, by their answers or from others; some of them at a time. */
   5: optional list<ServerLimit> limits = []
+  /** Runs of servers that leave, by their own word to the sender or to others; some of them at a time. */
+  6: optional list<ServerDeparture> departures = []
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -20,6 +20,8 @@
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.ServerLoad;
+import org.mangoridge.dispatch.directory.LeavingRun;
+import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerRun;
 import org.mangoridge.dispatch.limit.LimitStatus;
@@ -63,6 +65,7 @@
         final LoadGossip gossip;
         RequestQuarantine quarantine = RequestQuarantine.create();
         ServerRateLimiter limiter;
+        final ServerDirectory directory = ServerDirectory.create(Duration.ofSeconds(3));
         long datagrams;
         long bytesSent;
         long bytesReceived;
@@ -110,6 +113,11 @@
             return limiter.statuses(now);
         }
 
+        @Override
+        public List<LeavingRun> leavingRuns() {
+            return directory.leavingRuns(now);
+        }
+
         private void expirePeers() {
             if (!stopped.contains(this)) {
                 gossip.expire(now).forEach(peer -> limiter.peerLost(peer, now));
@@ -146,6 +154,13 @@
                 if (!limiter.merge(reception.limits(), now).isEmpty() && gossip.passesEvidenceOn()) {
                     gossip.evidenceChanged(now);
                 }
+                boolean departure = false;
+                for (LeavingRun leaving : reception.leavingRuns()) {
+                    departure |= directory.announceLeaving(leaving.run(), leaving.age(), now);
+                }
+                if (departure && gossip.passesEvidenceOn()) {
+                    gossip.evidenceChanged(now);
+                }
                 reception.reports().forEach(received -> apply(received.report()));
                 scheduleTimer();
             }
@@ -174,6 +189,14 @@
             }
         }
 
+        /** Has an answer in which a server says that it leaves. */
+        void observeLeaving(ServerRun run) {
+            if (directory.announceLeaving(run, Duration.ZERO, now)) {
+                gossip.evidenceChanged(now);
+                scheduleTimer();
+            }
+        }
+
         /** Observes that a server crashed under a prompt. */
         void observeCrash(int server, RequestParts prompt) {
             quarantine.recordCrash(new ServerRun(ServerId.of("s-" + server), 1), List.of(prompt), now);
