Count attempts in progress towards the servers that may run a request

What callers saw: a safe request ran at more servers than its route allows. Since a silent attempt goes on beside the second one, its failure was judged without the run of the second, and the request was sent to a third server.

Attempts whose outcome is not recorded count as runs now.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -192,10 +192,12 @@
 
     /** Sends the request to another server if a retry is allowed and possible; otherwise returns false. */
     private boolean retry(Verdict last, ServerId server, String cause) {
+        long unrecorded =
+                running.stream().filter(attempt -> !attempt.outcomeRecorded).count();
         boolean allowed = RetryDecision.mayRetry(
                 scope.route().repeat(),
                 last,
-                scope.runs(),
+                scope.runs() + (int) unrecorded,
                 scope.sends(),
                 scope.route().maxAttempts());
         Optional<ServerEntry> next =
