End a request at once whose silent server rejects it after the second one has failed

What callers saw: neither an answer nor a refusal until the time limit of the request, or a stream that stood still until then.

Cause: the prefill of a silent server is dropped when the request is sent to another one. When that one fails, the silent run counts again; if it then rejects its decode, the dropped prefill was asked for its KV cache. The exception ended nothing.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -275,11 +275,13 @@
             return;
         }
         decode = null;
-        if (cacheLost && decodeOnAnotherServer(server, detail)) {
+        // The prefill of a server that was silent for a while may have been replaced and released since.
+        boolean mayDecodeElsewhere = cacheLost && prefill != null;
+        if (mayDecodeElsewhere && decodeOnAnotherServer(server, detail)) {
             return;
         }
         releasePrefill();
-        if (cacheLost) {
+        if (mayDecodeElsewhere) {
             context.serverHealth().recordAnswer(prefill.server(), true, Duration.ZERO, context.now());
             placements.exclude(prefill.server());
         } else {
