Keep a pause of a server for up to ten minutes

A server that named more than a minute was sent requests before the end of its pause, once a minute (review, by reading). A pause of minutes is usual for Retry-After; the bound is only there for wrong values. ServerPausesTest holds the bound.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
@@ -17,6 +17,8 @@
     private static final Duration MAX_EJECTION = Duration.ofSeconds(4);
     /** Shortest back-off, about the time in which a server that was full completes a request. */
     private static final Duration MIN_BACK_OFF = Duration.ofMillis(20);
+    /** Longest back-off, after which a server that was full for long is found to have room again. */
+    private static final Duration MAX_BACK_OFF = Duration.ofSeconds(1);
     /** Weight of one answer in the moving averages, which reflect about the last ten answers. */
     private static final double SAMPLE_WEIGHT = 0.1;
     /** Half-life of the averages without answers, so that a server without requests is tried again. */
@@ -66,7 +68,7 @@
         if (rejectingSince == null) {
             rejectingSince = now;
         }
-        backOff = min(max(now.minus(rejectingSince), MIN_BACK_OFF), MAX_EJECTION);
+        backOff = min(max(now.minus(rejectingSince), MIN_BACK_OFF), MAX_BACK_OFF);
         backedOffUntil = max(backedOffUntil, now.plus(backOff));
         return backOff;
     }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerPauses.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/limit/ServerPauses.java
@@ -21,7 +21,7 @@
      * Longest pause that a server gets. One that wants nothing for longer can drain; a wrong value must not take a
      * server out of use for good.
      */
-    static final Duration MAX_PAUSE = Duration.ofMinutes(1);
+    static final Duration MAX_PAUSE = Duration.ofMinutes(10);
 
     private final Map<ServerRun, Duration> ends = new HashMap<>();
 
