Try servers that rejected everything once a second while nothing else serves

While no other server can be used, each backed-off server gets one request a second. Ending all back-offs after a second was tried and fails RejectingServerTest.oneRejectingServerOfThreeCostsNoRequests[7], since a server that takes nothing then costs more than 3 of 100 requests. The new test of ServerHealth was not run against the code before.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServerHealth.java
@@ -17,8 +17,8 @@
     private static final Duration MAX_EJECTION = Duration.ofSeconds(4);
     /** Shortest back-off, about the time in which a server that was full completes a request. */
     private static final Duration MIN_BACK_OFF = Duration.ofMillis(20);
-    /** Longest back-off, after which a server that was full for long is found to have room again. */
-    private static final Duration MAX_BACK_OFF = Duration.ofSeconds(1);
+    /** Interval of requests to a server that is backed off, while no other server of its service can be used. */
+    private static final Duration TRIAL_INTERVAL = Duration.ofSeconds(1);
     /** Weight of one answer in the moving averages, which reflect about the last ten answers. */
     private static final double SAMPLE_WEIGHT = 0.1;
     /** Half-life of the averages without answers, so that a server without requests is tried again. */
@@ -38,6 +38,8 @@
 
     private Duration backOff = Duration.ZERO;
     private Duration backedOffUntil = Duration.ZERO;
+    /** When the server was last sent a request while it rejected them. */
+    private Duration lastTrial = Duration.ZERO;
     /** How long the last rejection took to come. */
     private Duration rejectionLatency = Duration.ZERO;
 
@@ -68,7 +70,7 @@
         if (rejectingSince == null) {
             rejectingSince = now;
         }
-        backOff = min(max(now.minus(rejectingSince), MIN_BACK_OFF), MAX_BACK_OFF);
+        backOff = min(max(now.minus(rejectingSince), MIN_BACK_OFF), MAX_EJECTION);
         backedOffUntil = max(backedOffUntil, now.plus(backOff));
         return backOff;
     }
@@ -100,10 +102,11 @@
 
     /**
      * Tells whether the server may be sent a request where the alternative is a refusal: one answer was lost so far, and
-     * if it rejects requests, it has not done so for long.
+     * if it rejects requests, it has not done so for long, or has not been asked for some time.
      */
     boolean isUsableInNeed(Duration now) {
-        return (isUsable(now) || ejections == 1) && !isRejecting();
+        boolean trialDue = now.minus(lastTrial).compareTo(TRIAL_INTERVAL) >= 0;
+        return (isUsable(now) || ejections == 1) && (!isRejecting() || trialDue);
     }
 
     /** Tells whether the server has rejected all requests for so long that it was not only full for a moment. */
@@ -122,6 +125,7 @@
             trialInFlight = true;
         }
         if (rejectingSince != null) {
+            lastTrial = now;
             // A server that is sound may serve this one for long, so that only a rejection is waited for.
             backedOffUntil = max(backedOffUntil, now.plus(min(rejectionLatency.plus(MIN_BACK_OFF), INITIAL_EJECTION)));
         }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/RejectingServerTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/RejectingServerTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.mangoridge.dispatch.balance.RejectingServerSimulation.Outcome;
@@ -61,4 +62,23 @@
                 / 1000;
         assertThat(outcome.served()).isAtLeast((int) (Math.min(outcome.requests(), possible) * 0.92));
     }
+
+    /** Guards against refusals for seconds after an overload, while the servers that were full have room again. */
+    @Test
+    void aServerThatWasFullForLongIsAskedAgainWithinASecondIfNoOtherCanBeUsed() {
+        ServerHealth health = new ServerHealth();
+        Duration now = Duration.ZERO;
+        while (now.compareTo(Duration.ofSeconds(20)) < 0) {
+            health.recordSent(now);
+            health.recordRejection(Duration.ofMillis(2), now);
+            now = now.plus(health.backOffRemaining(now));
+        }
+        health.recordSent(now);
+        health.recordRejection(Duration.ofMillis(2), now);
+        assertThat(health.backOffRemaining(now)).isAtLeast(Duration.ofSeconds(2));
+        assertThat(health.isUsableInNeed(now.plusMillis(900))).isFalse();
+        assertThat(health.isUsableInNeed(now.plusSeconds(1))).isTrue();
+        health.recordSent(now.plusSeconds(1));
+        assertThat(health.isUsableInNeed(now.plusSeconds(1))).isFalse();
+    }
 }
