Bound the sizes and the depth that a datagram announces

What callers would see: an instance that ends or stalls. A datagram of 8 bytes at the peer port that announces a list of 2^31 entries made the decoder allocate it at once; lists within lists in an unknown field were skipped by recursion.

Cause: LoadCodec read with the library's defaults, which bound neither the length of a list nor the depth of skipped fields. Errors of the virtual machine are no exceptions and pass its catch.

No text or list may be longer than its datagram has bytes, and fields are skipped to 16 levels; beyond that the datagram is rejected as undecodable.

Evidence: LoadCodecTest.announcedSizesAndDepthCostNothing.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/gossip/LoadCodec.java
@@ -13,6 +13,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
 import org.mangoridge.core.Checks;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
@@ -51,6 +52,8 @@
 
     private final Map<String, HostPort> addressCache = new HashMap<>();
 
+    private static final int MAX_DEPTH = 16;
+
     /** Bounds the characters of the id of a part of a request. */
     private static final int MAX_PART_LENGTH = 64;
 
@@ -73,6 +76,11 @@
             List<LimitStatus> limits,
             List<LeavingRun> leavingRuns) {}
 
+    static {
+        // Unknown fields are skipped by recursion, by default at any depth.
+        TProtocolUtil.setMaxSkipDepth(MAX_DEPTH);
+    }
+
     private LoadCodec() {}
 
     static LoadCodec create() {
@@ -206,10 +214,16 @@
         }
     }
 
+    /** Reads a message; the memory for its texts and lists is allocated by their announced sizes, before they are read. */
+    private static void read(TBase<?, ?> message, byte[] bytes) throws TException {
+        int maxSize = bytes.length;
+        new TDeserializer(new TCompactProtocol.Factory(maxSize, maxSize)).deserialize(message, bytes);
+    }
+
     static Result<Batch, String> decodeBatch(byte[] bytes) {
         LoadBatch batch = new LoadBatch();
         try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(batch, bytes);
+            read(batch, bytes);
             return Result.ok(
                     new Batch(reports(batch), batch.isPassOn(), evidence(batch), limits(batch), leavingRuns(batch)));
         } catch (TException | RuntimeException e) {
@@ -231,7 +245,7 @@
     Result<LoadReport, String> decode(byte[] bytes) {
         LoadMessage message = new LoadMessage();
         try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
+            read(message, bytes);
             Map<ServerId, ServerLoad> loads = new HashMap<>();
             for (ServerShare share : message.getShares()) {
                 checkBounds(share);
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/LoadCodecTest.java
@@ -1,5 +1,6 @@
 package org.mangoridge.gateway.gossip;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -10,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.core.Result;
 import org.mangoridge.core.id.AvailabilityZone;
 import org.mangoridge.core.id.InstanceId;
@@ -73,6 +75,19 @@
     }
 
     /** Any datagram yields reports or an error; nothing is thrown into the event loop, and memory stays bounded. */
+    /** Guards against a small datagram that announces a huge list or text, or deep values, and takes the heap or the stack. */
+    @ParameterizedTest
+    @ValueSource(ints = {0x18, 0x19, 0x1a, 0x1b, 0x1c})
+    void announcedSizesAndDepthCostNothing(int fieldHeader) {
+        byte[] huge = {(byte) fieldHeader, (byte) 0xfc, (byte) 0xff, (byte) 0xff, (byte) 0xff, (byte) 0xff, 7, 0};
+        byte[] deep = new byte[60_000];
+        Arrays.fill(deep, (byte) fieldHeader);
+        for (byte[] datagram : List.of(huge, deep)) {
+            assertThat(LoadCodec.create().decode(datagram).isOk()).isFalse();
+            assertThat(LoadCodec.decodeBatch(datagram).isOk()).isFalse();
+        }
+    }
+
     @Property(tries = 2000, seed = "20261204")
     void alteredDatagramsAreDecodedOrRejected(
             @ForAll @Size(max = 6) List<@IntRange(max = 511) Integer> positions, @ForAll @Size(6) byte[] values) {
