Use a connection no more after an answer without an id

A first answer on a connection may come without an id. Its late copy could be taken for the answer to a later call that has no id either: a reservation, a release, an order or a report (review, by reading). Test before: AnswerIdentityTest .aConnectionIsNotUsedAgainAfterAnAnswerWithoutAnId, expected: 404 but was : 502, on the reused connection.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -204,6 +204,8 @@
                 fail(new CallFailure(progress, false, "response names no request"));
                 return;
             }
+            // A copy of this answer could not be told from the answer to a later call without an id.
+            reusable = false;
         }
         boolean hasFramedBody = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         boolean bodiless = head.status().code() == 204 || head.status().code() == 304;
