--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/request/StreamAllowance.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/StreamAllowance.java
@@ -1,7 +1,8 @@
-package org.mangoridge.dispatch.request;
+package org.mangoridge.dispatch.balance;
 
 import org.mangoridge.core.Checks;
 import org.mangoridge.dispatch.config.EngineSpec;
+import org.mangoridge.dispatch.request.TokenDemand;
 
 /**
  * The most that the answer to a model request may consist of, so that a faulty server cannot write without end.
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/request/StreamAllowanceTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/StreamAllowanceTest.java
@@ -1,4 +1,4 @@
-package org.mangoridge.dispatch.request;
+package org.mangoridge.dispatch.balance;
 
 import java.time.Duration;
 
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.dispatch.config.EngineSpec;
+import org.mangoridge.dispatch.request.TokenDemand;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -9,7 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.util.ByteProcessor;
-import org.mangoridge.dispatch.request.StreamAllowance;
+import org.mangoridge.dispatch.balance.StreamAllowance;
 
 /**
  * Splits the bytes of a server-sent event stream into complete events, so that callers never receive a partial one.
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.mangoridge.dispatch.request.StreamAllowance;
+import org.mangoridge.dispatch.balance.StreamAllowance;
 
 import static com.google.common.truth.Truth.assertThat;
 
