--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineSimulation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -196,7 +197,7 @@
         if (now.compareTo(server.downUntil) < 0) {
             return;
         }
-        Map<Instance, List<RequestParts>> implicated = new HashMap<>();
+        Map<Instance, List<RequestParts>> implicated = new LinkedHashMap<>();
         for (Stream stream : server.streams) {
             boolean begins = now.minus(stream.start()).compareTo(Duration.ofMillis(500)) < 0;
             if (begins && stream.observer() == stream.instance().quarantine) {
