--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineLoadTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/quarantine/QuarantineLoadTest.java
@@ -16,24 +16,22 @@
     /** Guards against incidents order-desk-2 and order-desk-4, at other sizes, with restarts and cuts in between. */
     @ParameterizedTest
     @CsvSource({
-        // first seed, last seed, instances, servers, crashing parts, crashing requests, requests per second, crashing
-        // share, restarts,
+        // seeds, instances, servers, crashing parts, crashing requests, requests per second, crashing share, restarts,
         // random crashes
-        "1, 20, 6, 6, 1, 0, 7, 0.4, 0, 0",
-        "1, 20, 6, 6, 1, 0, 7, 0.4, 6, 10",
-        "1, 20, 7, 10, 3, 0, 12, 0.3, 6, 10",
-        "1, 2, 30, 40, 5, 0, 60, 0.2, 20, 30",
-        "1, 2, 30, 40, 5, 0, 60, 0.02, 20, 30",
-        "1, 20, 6, 6, 0, 1, 7, 0.4, 6, 10",
-        "1, 12, 6, 6, 0, 4, 20, 0.1, 6, 10",
-        "14, 20, 6, 6, 0, 4, 20, 0.1, 6, 10",
-        "1, 20, 7, 10, 2, 2, 12, 0.3, 6, 10",
-        "1, 2, 30, 40, 3, 6, 60, 0.2, 20, 30",
-        "1, 2, 30, 40, 3, 6, 60, 0.02, 20, 30"
+        "1-20, 6, 6, 1, 0, 7, 0.4, 0, 0",
+        "1-20, 6, 6, 1, 0, 7, 0.4, 6, 10",
+        "1-20, 7, 10, 3, 0, 12, 0.3, 6, 10",
+        "1-2, 30, 40, 5, 0, 60, 0.2, 20, 30",
+        "1-2, 30, 40, 5, 0, 60, 0.02, 20, 30",
+        "1-20, 6, 6, 0, 1, 7, 0.4, 6, 10",
+        "1-12, 6, 6, 0, 4, 20, 0.1, 6, 10",
+        "14-20, 6, 6, 0, 4, 20, 0.1, 6, 10",
+        "1-20, 7, 10, 2, 2, 12, 0.3, 6, 10",
+        "1-2, 30, 40, 3, 6, 60, 0.2, 20, 30",
+        "1-2, 30, 40, 3, 6, 60, 0.02, 20, 30"
     })
     void crashesStopAndSoundRequestsGoOn(
-            int firstSeed,
-            int lastSeed,
+            String seeds,
             int instances,
             int servers,
             int crashingParts,
@@ -51,7 +49,8 @@
                 crashingShare,
                 restarts,
                 randomCrashes);
-        for (long seed = firstSeed; seed <= lastSeed; seed++) {
+        String[] range = seeds.split("-");
+        for (long seed = Long.parseLong(range[0]); seed <= Long.parseLong(range[1]); seed++) {
             assertCrashesStop(load, seed);
         }
     }
