Answer what a planned stop can't wait for, and take only what ends in time

Callers saw: requests sent late in the grace period of an instance that stops were taken and passed on, and cut without an answer at its end, among them requests that must not be repeated (LOST).

Cause: new requests were refused only from 1.8 s before the end of the grace period, streams from 2.9 s after the signal, whatever such requests took; and at the end the process stopped without a word to those in progress.

Change: DrainAdmission takes a request only if its deadline, or 1.25 times the longest recent one of its route, comes before the end (a stream is judged by the tokens that it may generate); it is asked before each send, so that queued and repeated requests count too. 0.7 s before the end of the grace period each request in progress gets its refusal, 503 if it has not run and 502 if it may have; a stream that has begun is cut visibly. The process then waits until answers are sent, also those that wait for a slow caller.

Why it works: no request outlasts the end of requests, and its verdict is known there, as at its deadline.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -21,6 +21,8 @@
     READINESS_CHANGED(105, Level.INFO, "readiness changed"),
     /** The process did not run for some time. */
     INSTANCE_PAUSED(106, Level.WARNING, "process stood still"),
+    /** The instance answered the requests that were still in progress shortly before it stops. */
+    REQUESTS_ENDED(107, Level.WARNING, "requests ended by the shutdown"),
     /** An unexpected error, which indicates a defect. */
     INTERNAL_ERROR(199, Level.SEVERE, "internal error"),
     /** A request was refused. */
--- /dev/null
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -0,0 +1,127 @@
+package org.mangoridge.dispatch.balance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.core.id.ServiceId;
+import org.mangoridge.dispatch.config.Route;
+import org.mangoridge.dispatch.config.WeightedService;
+import org.mangoridge.dispatch.request.RetryPolicy;
+import org.mangoridge.dispatch.request.TokenDemand;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DrainAdmissionTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(14);
+
+    private final DrainAdmission admission = DrainAdmission.create();
+    private final Route orders = route("orders", false);
+    private final Route drafts = route("drafts", true);
+
+    private static Route route(String name, boolean streaming) {
+        return new Route(
+                name,
+                "host",
+                "/" + name + "/",
+                streaming,
+                RetryPolicy.AT_MOST_ONCE,
+                List.of(new WeightedService(ServiceId.of("service"), 1)),
+                TIMEOUT,
+                Duration.ofMillis(900),
+                Duration.ZERO,
+                1,
+                0);
+    }
+
+    private static Duration millis(long value) {
+        return Duration.ofMillis(value);
+    }
+
+    private static TokenDemand tokens(int maxOutput) {
+        return new TokenDemand(3000, maxOutput, maxOutput);
+    }
+
+    private void recordPlain(long tookMillis, long atMillis) {
+        admission
+                .servingTimes()
+                .record(orders, TokenDemand.NONE, millis(tookMillis), millis(tookMillis), millis(atMillis));
+    }
+
+    private boolean admitsPlain(long deadlineMillis, long nowMillis) {
+        return admission.admits(orders, TokenDemand.NONE, millis(deadlineMillis), millis(nowMillis));
+    }
+
+    @Test
+    void everythingIsAdmittedBeforeTheShutdownAndNothingAfterItsClose() {
+        assertThat(admitsPlain(60_000, 0)).isTrue();
+        admission.endAt(millis(10_000));
+        admission.close();
+        assertThat(admitsPlain(1, 0)).isFalse();
+    }
+
+    /** A request that took 1.7 to 2.9 s was taken 2 s before the end and cut, though such requests took as long before. */
+    @ParameterizedTest
+    @CsvSource({"2900, 3600, true", "2900, 3700, false", "200, 7000, true", "200, 7100, false"})
+    void requestsAreAdmittedWhileTheLongestOfLateWouldEndInTime(long longestMillis, long nowMillis, boolean admitted) {
+        recordPlain(longestMillis, 0);
+        recordPlain(longestMillis / 2, 0);
+        admission.endAt(millis(7300));
+        assertThat(admitsPlain(60_000, nowMillis)).isEqualTo(admitted);
+    }
+
+    /** Refusing too much is a fault too: what gets its answer by its deadline needs no estimate. */
+    @Test
+    void aDeadlineBeforeTheEndIsAdmittedWhateverIsKnown() {
+        admission.endAt(millis(7300));
+        assertThat(admitsPlain(7300, 6000)).isTrue();
+        assertThat(admitsPlain(7301, 6000)).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {29_999, 61_000})
+    void requestsOfLongAgoDoNotCount(int agoMillis) {
+        recordPlain(100, 0);
+        admission.endAt(millis(agoMillis + 7300L));
+        assertThat(admitsPlain(agoMillis + 60_000L, agoMillis)).isEqualTo(agoMillis < 30_000);
+    }
+
+    /** A stream's length was not looked at: a long one was taken because short ones had ended in time. */
+    @ParameterizedTest
+    @CsvSource({"50, true", "100, true", "150, false"})
+    void aStreamIsJudgedByTheTokensThatItMayGenerate(int maxOutput, boolean admitted) {
+        admission.servingTimes().record(drafts, tokens(50), millis(500), millis(2500), millis(0));
+        admission.endAt(millis(6000));
+        assertThat(admission.admits(drafts, tokens(maxOutput), TIMEOUT, millis(0)))
+                .isEqualTo(admitted);
+    }
+
+    /** Both faults, at whatever speed the servers work and however long the grace period is. */
+    @ParameterizedTest
+    @CsvSource({"8, 0.1, 3.2", "8, 0.01, 0.3", "30, 0.5, 12", "3, 0.05, 0.8"})
+    void fewRequestsOutlastTheInstanceAndFewAreRefusedThatWouldNot(
+            int graceSeconds, double shortestSeconds, double longestSeconds) {
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 0; i < 200; i++) {
+            recordPlain((long) (1000 * random.nextDouble(shortestSeconds, longestSeconds)), 0);
+        }
+        long end = graceSeconds * 1000L;
+        admission.endAt(millis(end));
+        int outlasting = 0;
+        int refusedInVain = 0;
+        for (int i = 0; i < 1000; i++) {
+            long now = end * i / 1000;
+            long took = (long) (1000 * random.nextDouble(shortestSeconds, longestSeconds));
+            boolean admitted = admitsPlain(now + 60_000, now);
+            outlasting += admitted && now + took > end ? 1 : 0;
+            refusedInVain += !admitted && now + took <= end - 1.25 * longestSeconds * 1000 ? 1 : 0;
+        }
+        assertThat(outlasting).isEqualTo(0);
+        assertThat(refusedInVain).isEqualTo(0);
+    }
+}
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.dispatch.balance.DrainAdmission;
 import org.mangoridge.dispatch.balance.EngineBalancer;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.PlainBalancer;
@@ -34,6 +35,7 @@
  * @param plainBalancer chooses servers of plain services
  * @param engineBalancer chooses servers of model services
  * @param crashGuard keeps requests that crash servers away from them
+ * @param admission decides which requests are taken while the instance shuts down
  * @param metrics counters and histograms
  * @param log the event log
  */
@@ -52,6 +54,7 @@
         PlainBalancer plainBalancer,
         EngineBalancer engineBalancer,
         CrashGuard crashGuard,
+        DrainAdmission admission,
         GatewayMetrics metrics,
         EventSink log) {
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -59,6 +59,7 @@
 
     void start() {
         scope.exchange().onDisconnect(this::callerDisconnected);
+        scope.exchange().onInstanceStop(this::instanceStops);
         scope.exchange().onWritabilityChange(on -> {
             if (decode != null) {
                 decode.setReading(on);
@@ -88,7 +89,7 @@
     }
 
     private void placeOrEnqueue() {
-        if (refuseIfQuarantined() || refuseIfAllPaused()) {
+        if (refuseIfQuarantined() || refuseIfAllPaused() || refuseIfTooLate()) {
             return;
         }
         if (scope.caller().tokens().prompt() >= spec.kvCapacity()) {
@@ -142,6 +143,28 @@
         return true;
     }
 
+    /** Refuses the request if the instance shuts down before it would end; returns whether it was refused. */
+    boolean refuseIfTooLate() {
+        boolean late = !response.started() && scope.isTooLate();
+        if (late) {
+            abandon();
+            scope.refuseDraining();
+        }
+        return late;
+    }
+
+    private void instanceStops() {
+        if (decode != null) {
+            decode.recordOutcome(decode.verdict());
+        }
+        abandon();
+        if (response.started()) {
+            response.cut("the instance shuts down");
+        } else {
+            scope.refuseDraining();
+        }
+    }
+
     /** Returns the servers to which the request can be sent now; empty if it has to wait. */
     Optional<EnginePlacement> findPlacement() {
         return placements.find();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -79,12 +79,13 @@
         Duration now = context.now();
         queue.expire(now).forEach(waiter -> waiter.item().waitTimedOut());
         for (Waiter<ModelExchange> waiter : queue.inPlacementOrder(now)) {
-            if (waiter.item().refuseIfQuarantined() || waiter.item().refuseIfAllPaused()) {
+            ModelExchange exchange = waiter.item();
+            if (exchange.refuseIfQuarantined() || exchange.refuseIfAllPaused() || exchange.refuseIfTooLate()) {
                 continue;
             }
-            Optional<EnginePlacement> placement = waiter.item().findPlacement();
-            if (placement.isPresent() && queue.remove(waiter.item())) {
-                waiter.item().place(placement.get());
+            Optional<EnginePlacement> placement = exchange.findPlacement();
+            if (placement.isPresent() && queue.remove(exchange)) {
+                exchange.place(placement.get());
             }
         }
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -71,6 +71,7 @@
 
     void start() {
         scope.exchange().onDisconnect(this::callerDisconnected);
+        scope.exchange().onInstanceStop(this::instanceStops);
         deadlineTimer = context.schedule(scope.remainingTime(), this::deadlinePassed);
         if (!refuseIfQuarantined()) {
             place();
@@ -133,14 +134,22 @@
         if (ended) {
             return;
         }
-        for (PlainAttempt attempt : running) {
-            attempt.recordOutcome(attempt.verdict());
-            attempt.recordTimeoutIfNoResponse();
-        }
-        abandonAll();
+        running.forEach(PlainAttempt::recordTimeoutIfNoResponse);
+        recordOutcomesAndAbandon();
         giveUp(RefusalReason.DEADLINE, "no response before the deadline of the request");
     }
 
+    private void recordOutcomesAndAbandon() {
+        running.forEach(attempt -> attempt.recordOutcome(attempt.verdict()));
+        abandonAll();
+    }
+
+    private void instanceStops() {
+        recordOutcomesAndAbandon();
+        end();
+        scope.refuseDraining();
+    }
+
     private void giveUp(RefusalReason reason, String detail) {
         end();
         Duration after = returnTime();
@@ -204,6 +213,7 @@
                 context.plainBalancer().choose(context.directory().usable(scope.service()), tried, context.now());
         boolean retrying = allowed
                 && !ended
+                && !scope.isTooLate()
                 && !context.crashGuard().implicates(scope.identity())
                 && next.isPresent()
                 && context.retryBudget().tryRetry(scope.service(), context.instanceCount(), context.now());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -36,15 +36,8 @@
     private final GatewayContext context;
     private final ModelQueue queue;
     private GatewayConfig config;
-    private Admission admission = Admission.ALL;
     private final Set<CallerExchange> heldRequests = new LinkedHashSet<>();
 
-    private enum Admission {
-        ALL,
-        NON_STREAMING,
-        NONE
-    }
-
     private RequestRouter(GatewayContext context) {
         this.context = context;
         this.queue = new ModelQueue(context);
@@ -70,16 +63,6 @@
         return Optional.ofNullable(config);
     }
 
-    /** Refuses new streams from now on, because the instance shuts down before they would end. */
-    public void refuseStreams() {
-        admission = Admission.NON_STREAMING;
-    }
-
-    /** Refuses all new requests from now on, because the instance shuts down before they would be served. */
-    public void refuseAll() {
-        admission = Admission.NONE;
-    }
-
     /** Serves the requests that were held during startup if the instance is ready, and places queued requests. */
     public void placeWaitingRequests() {
         routeHeldRequests();
@@ -106,6 +89,10 @@
     private void hold(CallerExchange exchange) {
         heldRequests.add(exchange);
         exchange.onDisconnect(() -> heldRequests.remove(exchange));
+        exchange.onInstanceStop(() -> {
+            heldRequests.remove(exchange);
+            refuseDraining(exchange, read(exchange));
+        });
         context.schedule(MAX_HOLD_TIME, () -> {
             if (heldRequests.remove(exchange)) {
                 refuseNotReady(exchange);
@@ -146,25 +133,13 @@
                     Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, "no route matches the host and path of the request"));
         } else if (!read.isOk()) {
             refuse(exchange, read, Refusal.notRun(RefusalReason.MALFORMED, read.error()));
-        } else if (!admits(route.get())) {
-            refuse(
-                    exchange,
-                    read,
-                    Refusal.notRun(
-                            RefusalReason.DRAINING,
-                            "the instance is shutting down; retry at another instance",
-                            Duration.ZERO));
         } else {
             serve(exchange, route.get(), read.value());
         }
     }
 
-    private boolean admits(Route route) {
-        return switch (admission) {
-            case ALL -> true;
-            case NON_STREAMING -> !route.streaming();
-            case NONE -> false;
-        };
+    private void refuseDraining(CallerExchange exchange, Result<CallerRequest, String> read) {
+        refuse(exchange, read, Refusal.notRun(RefusalReason.DRAINING, RequestScope.DRAINING_DETAIL, Duration.ZERO));
     }
 
     private static String hostOf(CallerExchange exchange) {
@@ -175,9 +150,12 @@
 
     private void serve(CallerExchange exchange, Route route, CallerRequest caller) {
         ServiceId service = route.serviceOf(caller.id());
+        RequestScope scope = new RequestScope(context, exchange, route, service, caller, config.version());
+        if (scope.refuseIfTooLate()) {
+            return;
+        }
         context.retryBudget().recordRequest(service, context.now());
         context.limiter().recordRequest(service, context.now());
-        RequestScope scope = new RequestScope(context, exchange, route, service, caller, config.version());
         Optional<ServiceSpec> spec = config.service(service);
         if (spec.isPresent() && spec.get().engine().isPresent()) {
             new ModelExchange(context, scope, spec.get().engine().get(), queue).start();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -32,6 +32,8 @@
     /** When callers may repeat a request that crashes servers; its quarantine lasts for minutes. */
     private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(60);
 
+    static final String DRAINING_DETAIL = "the instance is shutting down; retry at another instance";
+
     private final GatewayContext context;
     private final CallerExchange exchange;
     private final Route route;
@@ -39,7 +41,11 @@
     private final CallerRequest caller;
     private final RequestIdentity identity;
     private final long configVersion;
+    private final Duration started;
     private final Duration deadline;
+    /** When the first event of a stream came; null before, and for other requests. */
+    private Duration firstEventAt;
+
     private Verdict verdict = Verdict.NOT_RUN;
     private int runs;
     private int sends;
@@ -62,6 +68,7 @@
         this.caller = caller;
         this.identity = RequestIdentity.of(exchange.request(), caller.sharedParts());
         this.configVersion = configVersion;
+        this.started = context.now();
         Duration callerTimeout = caller.timeout().orElse(route.timeout());
         Duration timeout = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
         this.deadline = arrived().plus(timeout);
@@ -167,6 +174,38 @@
                 connectTimeout);
     }
 
+    /** Records that the first event of a stream has come. */
+    void recordFirstEvent() {
+        firstEventAt = context.now();
+    }
+
+    private void recordServingTime() {
+        Duration now = context.now();
+        Duration first = firstEventAt == null ? now : firstEventAt;
+        context.admission()
+                .servingTimes()
+                .record(route, caller.tokens(), first.minus(started), now.minus(started), now);
+    }
+
+    /** Returns whether the instance shuts down before the request would end if it were sent to a server now. */
+    boolean isTooLate() {
+        return !context.admission().admits(route, caller.tokens(), deadline, context.now());
+    }
+
+    /** Refuses the request if the instance shuts down before it would end; returns whether it was refused. */
+    boolean refuseIfTooLate() {
+        boolean late = isTooLate();
+        if (late) {
+            refuseDraining();
+        }
+        return late;
+    }
+
+    /** Refuses the request because the instance shuts down; its verdict tells whether it may have run. */
+    void refuseDraining() {
+        refuse(RefusalReason.DRAINING, DRAINING_DETAIL, Optional.of(Duration.ZERO));
+    }
+
     /** Refuses the request because it, or a part of its prompt, crashes servers. */
     void refuseQuarantined(RequestPart part) {
         refuse(
@@ -184,6 +223,9 @@
         HttpResponseStatus status =
                 new RefusalWriter(context.dialect()).refuse(exchange, Optional.of(caller.id()), refusal);
         context.metrics().countRefusal(reason);
+        if (reason == RefusalReason.DEADLINE) {
+            recordServingTime();
+        }
         List<Field> fields = new ArrayList<>(List.of(inputs));
         fields.add(Field.of("reason", reason.code()));
         fields.add(Field.of("verdict", verdict.text()));
@@ -268,6 +310,7 @@
 
     /** Records and logs that the caller has received the final response of a server. */
     void logAnswered(ServerId server, int status, Field... details) {
+        recordServingTime();
         boolean onTime = age().compareTo(route.latencyTarget()) <= 0;
         context.metrics().count(onTime ? "answered.on_time" : "answered.late");
         context.metrics().recordLatency("latency." + (route.streaming() ? "stream" : "plain"), age());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
@@ -49,6 +49,7 @@
     void start(HttpResponse head) {
         if (!started()) {
             firstHead = head;
+            scope.recordFirstEvent();
             scope.exchange()
                     .startResponse(
                             HttpResponseStatus.valueOf(head.status().code()),
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallerExchange.java
@@ -38,6 +38,9 @@
     /** Sets the listener that is called if the caller disconnects before the response is complete. */
     void onDisconnect(Runnable listener);
 
+    /** Sets the listener that ends the response because the instance is about to stop; it is called at most once. */
+    void onInstanceStop(Runnable listener);
+
     /** Sets the listener that is called with false when the send buffer is full and with true when it has drained. */
     void onWritabilityChange(java.util.function.Consumer<Boolean> listener);
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -230,6 +231,21 @@
         return exchange != null;
     }
 
+    /** Returns whether a response is in progress or has not been sent entirely. */
+    boolean hasUnsentResponse() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        return exchange != null || unsent != null && !unsent.isEmpty();
+    }
+
+    /** Answers the request in progress, or the one that is being read, because the instance is about to stop. */
+    void endRequest() {
+        if (exchange != null) {
+            exchange.instanceStops();
+        } else if (head != null && !closing) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext unused) {
         closing = true;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -29,6 +29,7 @@
     private final boolean keepAlive;
     private final boolean chunksAllowed;
     private Runnable disconnectListener = () -> {};
+    private Runnable stopListener = this::abort;
     private Consumer<Boolean> writabilityListener = ignored -> {};
     private boolean started;
     /** What was written to the body since it was last sent; null if nothing was. */
@@ -157,6 +158,16 @@
         writabilityListener = listener;
     }
 
+    @Override
+    public void onInstanceStop(Runnable listener) {
+        stopListener = listener;
+    }
+
+    /** Ends the response because the instance is about to stop. */
+    void instanceStops() {
+        stopListener.run();
+    }
+
     void callerGone() {
         if (!ended) {
             ended = true;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -135,6 +135,16 @@
                 .count();
     }
 
+    /** Returns the number of responses that are in progress or were not sent entirely. */
+    public long unsentResponses() {
+        return connections.stream().filter(FrontConnection::hasUnsentResponse).count();
+    }
+
+    /** Answers the requests in progress, and those that are being read, because the instance is about to stop. */
+    public void endRequests() {
+        Set.copyOf(connections).forEach(FrontConnection::endRequest);
+    }
+
     /** Returns the number of connections. */
     public int connectionCount() {
         return connections.size();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -12,6 +12,7 @@
 import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.core.id.InstanceId;
 import org.mangoridge.core.time.Clock;
+import org.mangoridge.dispatch.balance.DrainAdmission;
 import org.mangoridge.dispatch.balance.EngineBalancer;
 import org.mangoridge.dispatch.balance.LoadTracker;
 import org.mangoridge.dispatch.balance.PlainBalancer;
@@ -54,10 +55,6 @@
     private static final int BODY_MEMORY_DIVISOR = 12;
     /** Fraction of the file descriptors that connections of callers may use. */
     private static final double FRONT_DESCRIPTOR_FRACTION = 0.6;
-    /** Time after the shutdown signal from which new streams are refused; a stream takes seconds. */
-    private static final Duration STREAM_REFUSAL_DELAY = Duration.ofMillis(2900);
-    /** Time before the end of the grace period from which all new requests are refused. */
-    private static final Duration REQUEST_REFUSAL_MARGIN = Duration.ofMillis(1800);
     /** Delay that batches server changes, as a share of the time within which a draining server must be known. */
     private static final double SERVER_DELAY_SHARE = 0.3;
     /** Longest mean pause between attempts to reach the store; a server that left must be known soon after its return. */
@@ -200,6 +197,7 @@
                 PlainBalancer.create(loads, tracks, limiter, settings.zone(), random),
                 EngineBalancer.create(loads, tracks, limiter, pace, settings.zone()),
                 CrashGuard.create(loop, clock, calls, directory, metrics, log),
+                DrainAdmission.create(),
                 metrics,
                 log);
     }
@@ -346,18 +344,20 @@
 
     private void advanceShutdown(Duration now) {
         Duration since = now.minus(drainingSince);
-        switch (shutdownPlan.next(since, front.requestsInProgress())) {
+        switch (shutdownPlan.next(since, front.unsentResponses())) {
             case REFUSE -> {
-                router.refuseAll();
+                context.admission().close();
                 front.stopListening();
                 front.closeIdle();
             }
+            case END_REQUESTS -> endRequests(since);
             case END -> {
                 stopped = true;
+                endRequests(since);
                 log.log(
                         LogEvent.INSTANCE_STOPPED,
                         Field.of("after_ms", since),
-                        Field.of("requests_cut", front.requestsInProgress()),
+                        Field.of("requests_cut", front.unsentResponses()),
                         Field.of("connections", front.connectionCount()));
                 loadGossip.leave();
                 terminated.countDown();
@@ -368,13 +368,21 @@
         }
     }
 
-    /** Starts a graceful shutdown: the instance becomes not ready and serves requests until their refusal times. */
+    private void endRequests(Duration since) {
+        context.admission().close();
+        long inProgress = front.requestsInProgress();
+        front.endRequests();
+        if (inProgress > 0) {
+            log.log(LogEvent.REQUESTS_ENDED, Field.of("after_ms", since), Field.of("requests", inProgress));
+        }
+    }
+
+    /** Starts a graceful shutdown: the instance becomes not ready and serves the requests that end before it stops. */
     public void drain() {
         loop.execute(() -> {
             if (drainingSince == null) {
                 drainingSince = clock.elapsed();
-                defer(STREAM_REFUSAL_DELAY, router::refuseStreams);
-                defer(settings.grace().minus(REQUEST_REFUSAL_MARGIN), router::refuseAll);
+                context.admission().endAt(drainingSince.plus(shutdownPlan.endOfRequests()));
                 stages.releaseLease();
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.requestsInProgress()));
             }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
@@ -8,7 +8,8 @@
  * Decides when a draining instance stops. Does no I/O; not thread-safe.
  *
  * <p>Requests keep arriving until the load balancer has noticed that the instance is not ready, and on kept connections
- * after that. So the instance first refuses new requests, and stops when no request is in progress at a later step.
+ * after that. So the instance first refuses new requests, and stops when no response is left to send at a later step.
+ * Requests that are still in progress shortly before the end of the grace period are answered by the instance itself.
  */
 final class ShutdownPlan {
 
@@ -16,9 +17,12 @@
     static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(3200);
     /** Time before the end of the grace period at which the process stops, whatever is in progress. */
     static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+    /** Time before the process stops at which requests in progress are answered, so that the answers can be sent. */
+    static final Duration ANSWER_TIME = Duration.ofMillis(200);
 
     private final Duration grace;
     private boolean refusing;
+    private boolean requestsEnded;
 
     /** The next action of the shutdown. */
     enum Step {
@@ -26,7 +30,9 @@
         WAIT,
         /** Refuse every new request and close idle connections. */
         REFUSE,
-        /** Stop the process. */
+        /** Refuse every new request and answer those in progress. */
+        END_REQUESTS,
+        /** Answer requests that are still in progress and stop the process. */
         END
     }
 
@@ -39,17 +45,29 @@
         return new ShutdownPlan(Checks.notNull(grace, "grace"));
     }
 
+    /** Returns the time since the shutdown signal at which requests in progress are answered. */
+    Duration endOfRequests() {
+        return grace.minus(GRACE_MARGIN).minus(ANSWER_TIME);
+    }
+
     /**
      * Returns the next action.
      *
      * @param since time since the shutdown signal
-     * @param inProgress number of requests in progress
+     * @param unsent number of responses that are in progress or were not sent entirely
      */
-    Step next(Duration since, long inProgress) {
+    Step next(Duration since, long unsent) {
         if (since.compareTo(grace.minus(GRACE_MARGIN)) > 0) {
             return Step.END;
         }
-        if (since.compareTo(LOAD_BALANCER_DELAY) <= 0 || inProgress > 0) {
+        if (!requestsEnded && since.compareTo(endOfRequests()) > 0) {
+            requestsEnded = true;
+            return Step.END_REQUESTS;
+        }
+        if (requestsEnded) {
+            return unsent == 0 ? Step.END : Step.WAIT;
+        }
+        if (since.compareTo(LOAD_BALANCER_DELAY) <= 0 || unsent > 0) {
             return Step.WAIT;
         }
         if (!refusing) {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/node/ShutdownPlanTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/node/ShutdownPlanTest.java
@@ -28,6 +28,15 @@
         assertThat(next(3500, 0)).isEqualTo(ShutdownPlan.Step.END);
     }
 
+    /** Requests that servers still worked on at the end were cut without an answer. */
+    @Test
+    void endsRequestsInProgressBeforeItStopsAndWaitsForTheirAnswers() {
+        assertThat(next(7200, 3)).isEqualTo(ShutdownPlan.Step.WAIT);
+        assertThat(next(7350, 3)).isEqualTo(ShutdownPlan.Step.END_REQUESTS);
+        assertThat(next(7450, 1)).isEqualTo(ShutdownPlan.Step.WAIT);
+        assertThat(next(7480, 0)).isEqualTo(ShutdownPlan.Step.END);
+    }
+
     @Test
     void endsBeforeTheGracePeriodExpires() {
         assertThat(next(7600, 3)).isEqualTo(ShutdownPlan.Step.END);
