Answer pipelined requests that were read before a shutdown closes their connection

Callers would see: requests behind another one on a connection, read whole by an instance that shuts down, got neither an answer nor a refusal. Found by reading, on a path related to the planned stop; no user has reported it.

Cause: during a shutdown each response said that the connection closes, and closing dropped the requests that waited behind it on the same connection.

Evidence: FrontExchangeTest.pipelinedRequestsAreAnsweredDuringAShutdown failed before: of three requests on a connection only the first was answered.

Change: only the response behind which no request waits closes the connection.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -183,8 +183,9 @@
         }
     }
 
-    boolean draining() {
-        return state.draining();
+    /** Returns whether the shutdown closes the connection after this response: no further request has been read. */
+    boolean closesAfterResponse() {
+        return state.draining() && pipelined.isEmpty();
     }
 
     private void reject(HttpResponseStatus status) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -95,7 +95,7 @@
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        closeAfter = !keepAlive || endsWithConnection || connection.draining();
+        closeAfter = !keepAlive || endsWithConnection || connection.closesAfterResponse();
         if (closeAfter) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -1,6 +1,8 @@
 package org.mangoridge.gateway.net;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -22,7 +24,11 @@
 
 class FrontExchangeTest {
 
-    private static final FrontState SERVING = new FrontState() {
+    private static final String REQUEST = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+    private boolean draining;
+
+    private final FrontState state = new FrontState() {
         @Override
         public CallerLimits limits() {
             return CallerLimits.DEFAULT;
@@ -30,16 +36,16 @@
 
         @Override
         public boolean draining() {
-            return false;
+            return draining;
         }
     };
 
-    private static EmbeddedChannel request(RequestHandler handler) {
+    private EmbeddedChannel request(RequestHandler handler) {
         EmbeddedChannel channel = new EmbeddedChannel(
                 new HttpResponseEncoder(),
                 new StrictRequestDecoder(new io.netty.handler.codec.http.HttpDecoderConfig()),
-                new FrontConnection(VirtualClock.create(), SERVING, handler, BodyMemory.of(1000)));
-        channel.writeInbound(bytes("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"));
+                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000)));
+        channel.writeInbound(bytes(REQUEST));
         return channel;
     }
 
@@ -88,7 +94,7 @@
     @Test
     void aBodyWithoutAHeadClosesTheConnection() {
         for (Consumer<CallerExchange> call :
-                java.util.List.<Consumer<CallerExchange>>of(each -> each.write(bytes("x")), CallerExchange::finish)) {
+                List.<Consumer<CallerExchange>>of(each -> each.write(bytes("x")), CallerExchange::finish)) {
             EmbeddedChannel channel = request(call::accept);
             assertThat(channel.isOpen()).isFalse();
             assertThat(sent(channel)).isEmpty();
@@ -115,4 +121,22 @@
         assertThat(channel.isOpen()).isFalse();
         assertThat(disconnected[0]).isTrue();
     }
+
+    /** Requests behind the one that was answered during a shutdown had been read, and got neither answer nor refusal. */
+    @Test
+    void pipelinedRequestsAreAnsweredDuringAShutdown() {
+        List<CallerExchange> exchanges = new ArrayList<>();
+        EmbeddedChannel channel = request(exchanges::add);
+        channel.writeInbound(bytes(REQUEST + REQUEST));
+        draining = true;
+        for (int i = 0; i < 3; i++) {
+            assertThat(exchanges).hasSize(i + 1);
+            assertThat(channel.isOpen()).isTrue();
+            respond(exchanges.get(i));
+        }
+        assertThat(channel.isOpen()).isFalse();
+        String sent = sent(channel);
+        assertThat(sent.split("refused", -1)).hasLength(4);
+        assertThat(sent.split("connection: close", -1)).hasLength(2);
+    }
 }
