Begin pipelined requests one after the other, not within the answer to the one before

Callers would see: a connection with many pipelined requests behind a slow one was closed without an answer to those that had not been answered yet. Found by a test for paths related to endless bytes; no user has reported it.

Cause: the response to a request begins the next one that waits on its connection. One that is answered at once, such as a refusal, begins the next one from within, so that each took some frames of the stack. The bound of 32 waiting messages only stops further reads; one read of 16 KB can hold some hundred requests. The threads of an instance have 256 KB of stack.

Evidence: FrontExchangeTest.manyPipelinedRequestsThatAreAnsweredAtOnceNeedLittleStack failed with a StackOverflowError before, with 300, 600 and 5,000 requests.

Change: one loop begins the requests that wait; a request that is answered within it leaves the next one to the loop.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -50,6 +50,7 @@
     private boolean keepAlive;
     private FrontExchange exchange;
     private boolean closing;
+    private boolean processingPipelined;
 
     FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory) {
         this.clock = clock;
@@ -175,14 +176,27 @@
             releasePipelined();
             return;
         }
-        while (exchange == null && !closing && !pipelined.isEmpty()) {
-            process(pipelined.pollFirst());
-        }
+        processPipelined();
         if (!closing && pipelined.size() < MAX_PIPELINED_MESSAGES) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    /** Begins the requests that wait, one after the other; a request that is answered at once does not nest the next one. */
+    private void processPipelined() {
+        if (processingPipelined) {
+            return;
+        }
+        processingPipelined = true;
+        try {
+            while (exchange == null && !closing && !pipelined.isEmpty()) {
+                process(pipelined.pollFirst());
+            }
+        } finally {
+            processingPipelined = false;
+        }
+    }
+
     /** Returns whether the shutdown closes the connection after this response: no further request has been read. */
     boolean closesAfterResponse() {
         return state.draining() && pipelined.isEmpty();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -26,6 +26,9 @@
 
     private static final String REQUEST = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
 
+    /** The stack size of the threads of an instance. */
+    private static final int SMALL_STACK_BYTES = 256 << 10;
+
     private boolean draining;
 
     private final FrontState state = new FrontState() {
@@ -139,4 +142,31 @@
         assertThat(sent.split("refused", -1)).hasLength(4);
         assertThat(sent.split("connection: close", -1)).hasLength(2);
     }
+
+    /** Each of the requests behind a slow one was begun within the response before it, until the stack overflowed. */
+    @Test
+    void manyPipelinedRequestsThatAreAnsweredAtOnceNeedLittleStack() throws InterruptedException {
+        int requests = 5000;
+        List<CallerExchange> slow = new ArrayList<>();
+        StringBuilder sent = new StringBuilder();
+        Thread caller = new Thread(
+                null,
+                () -> {
+                    EmbeddedChannel channel = request(exchange -> {
+                        if (slow.isEmpty()) {
+                            slow.add(exchange);
+                        } else {
+                            respond(exchange);
+                        }
+                    });
+                    channel.writeInbound(bytes(REQUEST.repeat(requests)));
+                    respond(slow.getFirst());
+                    sent.append(sent(channel));
+                },
+                "caller",
+                SMALL_STACK_BYTES);
+        caller.start();
+        caller.join();
+        assertThat(sent.toString().split("refused", -1)).hasLength(requests + 2);
+    }
 }
