End a request visibly when one of its steps throws

Callers would see: a request whose step failed by an exception got neither an answer nor a refusal, until its deadline or for good. This is one way to the report of a whole request without an answer (LOST); that it is the one that was seen is not shown, as there is no record.

Cause: exceptions in timers and listeners of the event loop were dropped without a line; an exception while held requests were routed left all behind it; one while a freed place was given to the next request ended the request that had freed it; a failed connection was closed without a line; a shutdown that failed at its last step never ended.

Evidence: DefectTest, which lets the step fail that logs an event.

Change: RequestGuard runs each step of a request: the first one, timers, the events of its calls, and those of its caller. If one throws, the attempts end and the caller gets its refusal (502 if anything was sent to a server), or sees its stream break off. The router guards what comes before, and held requests one by one; the queue guards each waiting request by itself and goes on polling.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/CrashGuard.java
@@ -24,6 +24,7 @@
 import org.mangoridge.dispatch.quarantine.RequestQuarantine;
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.gateway.log.EventSink;
+import org.mangoridge.gateway.log.GuardedTask;
 import org.mangoridge.gateway.net.UpstreamPool;
 
 /**
@@ -136,7 +137,10 @@
         }
         brokenOff.put(
                 run, new BrokenOff(server.address(), clock.elapsed(), new ArrayList<>(List.of(request.complete()))));
-        loop.schedule(() -> check(server, run), GATHERING_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(
+                GuardedTask.of(log, "crash check", () -> check(server, run)),
+                GATHERING_TIME.toMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     /** Records that a server is listed: where another run broke off just before, that one has crashed. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -181,7 +181,7 @@
         if (silenceTimer != null) {
             silenceTimer.cancel(false);
         }
-        silenceTimer = context.schedule(time, this::onSilence);
+        silenceTimer = exchange.scope().guard().schedule(time, this::onSilence);
     }
 
     /**
@@ -199,7 +199,11 @@
         }
         silenceChecks++;
         if (silenceChecks == 1) {
-            context.calls().checkListening(server, EngineTimeouts.CONNECT_TIMEOUT, this::onListeningChecked);
+            context.calls()
+                    .checkListening(
+                            server,
+                            EngineTimeouts.CONNECT_TIMEOUT,
+                            exchange.scope().guard().guarded(this::onListeningChecked));
         } else {
             eject("no event for a long time");
             exchange.serverSilent(this);
@@ -417,6 +421,11 @@
         }
     }
 
+    @Override
+    public void broken(RuntimeException error) {
+        exchange.scope().guard().fail(error);
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (released) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -17,6 +17,7 @@
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.gateway.log.EventSink;
+import org.mangoridge.gateway.log.GuardedTask;
 
 /**
  * The components that all requests of an instance share; used on its event loop.
@@ -63,9 +64,9 @@
         return clock.elapsed();
     }
 
-    /** Runs a task on the event loop after a delay; at once if the delay is negative. */
+    /** Runs a task on the event loop after a delay, at once if the delay is negative; logs an exception of the task. */
     ScheduledFuture<?> schedule(Duration delay, Runnable task) {
-        return loop.schedule(task, Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
+        return loop.schedule(GuardedTask.of(log, "timer", task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
     }
 
     /** Returns the number of known instances, including this one. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -58,18 +58,22 @@
     }
 
     void start() {
-        scope.exchange().onDisconnect(this::callerDisconnected);
-        scope.exchange().onInstanceStop(this::instanceStops);
-        scope.exchange().onWritabilityChange(on -> {
-            if (decode != null) {
-                decode.setReading(on);
-            }
-            if (silent != null) {
-                silent.setReading(on);
-            }
-        });
-        deadlineTimer = context.schedule(scope.remainingTime(), this::deadlinePassed);
-        placeOrEnqueue();
+        RequestGuard guard = scope.guard();
+        guard.onFailure(this::abandon);
+        scope.exchange().onDisconnect(guard.guarded(this::callerDisconnected));
+        scope.exchange().onInstanceStop(guard.guarded(this::instanceStops));
+        scope.exchange().onWritabilityChange(guard.guarded(this::setReading));
+        deadlineTimer = guard.schedule(scope.remainingTime(), this::deadlinePassed);
+        guard.run(this::placeOrEnqueue);
+    }
+
+    private void setReading(boolean on) {
+        if (decode != null) {
+            decode.setReading(on);
+        }
+        if (silent != null) {
+            silent.setReading(on);
+        }
     }
 
     RequestScope scope() {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelQueue.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -69,7 +70,8 @@
         }
         placing = true;
         try {
-            queues.values().forEach(this::placeFrom);
+            // A copy, since a refusal lets the next request of its connection begin, which may add a queue.
+            List.copyOf(queues.values()).forEach(this::placeFrom);
         } finally {
             placing = false;
         }
@@ -77,16 +79,24 @@
 
     private void placeFrom(AdmissionQueue<ModelExchange> queue) {
         Duration now = context.now();
-        queue.expire(now).forEach(waiter -> waiter.item().waitTimedOut());
+        queue.expire(now).forEach(waiter -> run(waiter.item(), waiter.item()::waitTimedOut));
         for (Waiter<ModelExchange> waiter : queue.inPlacementOrder(now)) {
-            ModelExchange exchange = waiter.item();
-            if (exchange.refuseIfQuarantined() || exchange.refuseIfAllPaused() || exchange.refuseIfTooLate()) {
-                continue;
-            }
-            Optional<EnginePlacement> placement = exchange.findPlacement();
-            if (placement.isPresent() && queue.remove(exchange)) {
-                exchange.place(placement.get());
-            }
+            run(waiter.item(), () -> placeOrRefuse(waiter.item(), queue));
+        }
+    }
+
+    /** Runs a step of a request so that its failure ends this request only, not the one whose end has freed capacity. */
+    private static void run(ModelExchange exchange, Runnable step) {
+        exchange.scope().guard().run(step);
+    }
+
+    private static void placeOrRefuse(ModelExchange exchange, AdmissionQueue<ModelExchange> queue) {
+        if (exchange.refuseIfQuarantined() || exchange.refuseIfAllPaused() || exchange.refuseIfTooLate()) {
+            return;
+        }
+        Optional<EnginePlacement> placement = exchange.findPlacement();
+        if (placement.isPresent() && queue.remove(exchange)) {
+            exchange.place(placement.get());
         }
     }
 
@@ -99,9 +109,12 @@
 
     private void poll() {
         pollScheduled = false;
-        placeWaitingRequests();
-        if (queues.values().stream().anyMatch(queue -> queue.size() > 0)) {
-            schedulePoll();
+        try {
+            placeWaitingRequests();
+        } finally {
+            if (queues.values().stream().anyMatch(queue -> queue.size() > 0)) {
+                schedulePoll();
+            }
         }
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -70,12 +70,18 @@
     }
 
     void start() {
-        scope.exchange().onDisconnect(this::callerDisconnected);
-        scope.exchange().onInstanceStop(this::instanceStops);
-        deadlineTimer = context.schedule(scope.remainingTime(), this::deadlinePassed);
-        if (!refuseIfQuarantined()) {
-            place();
-        }
+        scope.guard().onFailure(() -> {
+            end();
+            recordOutcomesAndAbandon();
+        });
+        scope.exchange().onDisconnect(scope.guard().guarded(this::callerDisconnected));
+        scope.exchange().onInstanceStop(scope.guard().guarded(this::instanceStops));
+        deadlineTimer = scope.guard().schedule(scope.remainingTime(), this::deadlinePassed);
+        scope.guard().run(() -> {
+            if (!refuseIfQuarantined()) {
+                place();
+            }
+        });
     }
 
     /** Refuses the request if it crashes servers; returns whether it was refused. */
@@ -256,9 +262,9 @@
                     new AttemptWork.FullRequest(),
                     OptionalLong.empty());
             Duration silenceLimit = max(retryDelay(), scope.remainingTime().dividedBy(2));
-            silenceTimer = context.schedule(silenceLimit, this::recordTimeoutIfNoResponse);
+            silenceTimer = scope.guard().schedule(silenceLimit, this::recordTimeoutIfNoResponse);
             if (scope.route().repeat().allowsRerun()) {
-                retryTimer = context.schedule(retryDelay(), this::onRetryDelayPassed);
+                retryTimer = scope.guard().schedule(retryDelay(), this::onRetryDelayPassed);
             }
             call = context.calls()
                     .call(
@@ -297,7 +303,7 @@
             }
             Verdict last = verdict();
             if (last == Verdict.NOT_RUN) {
-                retryTimer = context.schedule(retryDelay(), this::onRetryDelayPassed);
+                retryTimer = scope.guard().schedule(retryDelay(), this::onRetryDelayPassed);
                 return;
             }
             recordOutcome(last);
@@ -447,6 +453,11 @@
             scope.logAnswered(server.id(), reply.status());
         }
 
+        @Override
+        public void broken(RuntimeException error) {
+            scope.guard().fail(error);
+        }
+
         @Override
         public void failed(CallFailure failure) {
             if (!close() || ended) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -77,8 +77,9 @@
         started = context.now();
         Attempt attempt = new Attempt(
                 scope.caller(), server.id(), scope.remainingTime(), new AttemptWork.Prefill(), OptionalLong.empty());
-        timeoutTimer =
-                context.schedule(expectedFirstToken.multipliedBy(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN), this::onTimeout);
+        timeoutTimer = exchange.scope()
+                .guard()
+                .schedule(expectedFirstToken.multipliedBy(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN), this::onTimeout);
         call = context.calls()
                 .call(
                         permit,
@@ -213,6 +214,11 @@
         }
     }
 
+    @Override
+    public void broken(RuntimeException error) {
+        exchange.scope().guard().fail(error);
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (!prefilling) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -14,10 +14,12 @@
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
+import org.mangoridge.core.verdict.Verdict;
 import org.mangoridge.dispatch.config.GatewayConfig;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.config.ServiceSpec;
 import org.mangoridge.dispatch.request.CallerRequest;
+import org.mangoridge.gateway.log.GuardedTask;
 import org.mangoridge.gateway.net.CallerExchange;
 import org.mangoridge.gateway.net.RequestHandler;
 
@@ -72,6 +74,32 @@
     @Override
     public void handle(CallerExchange exchange) {
         context.metrics().count("requests");
+        run(exchange, () -> routeOrHold(exchange));
+    }
+
+    /** Runs a step of a request that has no guard of its own yet; if it fails, the request has not run and is refused. */
+    private void run(CallerExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            GuardedTask.logError(
+                    context.log(),
+                    "routing",
+                    e,
+                    Field.of("path", exchange.request().path()));
+            new RefusalWriter(context.dialect())
+                    .refuse(
+                            exchange,
+                            Optional.empty(),
+                            new Refusal(
+                                    RefusalReason.INTERNAL,
+                                    Verdict.NOT_RUN,
+                                    "internal error of the instance",
+                                    Optional.empty()));
+        }
+    }
+
+    private void routeOrHold(CallerExchange exchange) {
         if (isReady()) {
             route(exchange);
         } else if (heldRequests.size() < MAX_HELD_REQUESTS) {
@@ -89,22 +117,24 @@
     private void hold(CallerExchange exchange) {
         heldRequests.add(exchange);
         exchange.onDisconnect(() -> heldRequests.remove(exchange));
-        exchange.onInstanceStop(() -> {
+        exchange.onInstanceStop(() -> run(exchange, () -> {
             heldRequests.remove(exchange);
             refuseDraining(exchange, read(exchange));
-        });
-        context.schedule(MAX_HOLD_TIME, () -> {
-            if (heldRequests.remove(exchange)) {
-                refuseNotReady(exchange);
-            }
-        });
+        }));
+        context.schedule(
+                MAX_HOLD_TIME,
+                () -> run(exchange, () -> {
+                    if (heldRequests.remove(exchange)) {
+                        refuseNotReady(exchange);
+                    }
+                }));
     }
 
     private void routeHeldRequests() {
         if (!heldRequests.isEmpty() && isReady()) {
             List<CallerExchange> waiting = List.copyOf(heldRequests);
             heldRequests.clear();
-            waiting.forEach(this::route);
+            waiting.forEach(exchange -> run(exchange, () -> route(exchange)));
         }
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -46,6 +46,7 @@
     /** When the first event of a stream came; null before, and for other requests. */
     private Duration firstEventAt;
 
+    private final RequestGuard guard;
     private Verdict verdict = Verdict.NOT_RUN;
     private int runs;
     private int sends;
@@ -69,11 +70,16 @@
         this.identity = RequestIdentity.of(exchange.request(), caller.sharedParts());
         this.configVersion = configVersion;
         this.started = context.now();
+        this.guard = new RequestGuard(context, this);
         Duration callerTimeout = caller.timeout().orElse(route.timeout());
         Duration timeout = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
         this.deadline = arrived().plus(timeout);
     }
 
+    RequestGuard guard() {
+        return guard;
+    }
+
     CallerExchange exchange() {
         return exchange;
     }
@@ -201,6 +207,15 @@
         return late;
     }
 
+    /** Ends the response after a defect, unless it has ended: by a refusal, or visibly incomplete if it has begun. */
+    void endAfterDefect() {
+        if (exchange.responseStarted()) {
+            exchange.abort();
+        } else {
+            refuse(RefusalReason.INTERNAL, "internal error of the instance", Optional.empty());
+        }
+    }
+
     /** Refuses the request because the instance shuts down; its verdict tells whether it may have run. */
     void refuseDraining() {
         refuse(RefusalReason.DRAINING, DRAINING_DETAIL, Optional.of(Duration.ZERO));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -78,7 +78,7 @@
                 Unpooled.wrappedBuffer(requestBody),
                 EngineTimeouts.MAX_IDLE_FOR_REUSE,
                 EngineTimeouts.CONNECT_TIMEOUT);
-        timeoutTimer = context.schedule(RESPONSE_TIMEOUT, this::onTimeout);
+        timeoutTimer = exchange.scope().guard().schedule(RESPONSE_TIMEOUT, this::onTimeout);
         reservedUntil = context.now().plus(duration);
         call = context.calls().call(context.calls().acquire(server, CallKind.RESERVATION), request, this);
     }
@@ -173,6 +173,11 @@
                         Field.of("server_kv", context.loads().total(server.id()).kvTokens()));
     }
 
+    @Override
+    public void broken(RuntimeException error) {
+        exchange.scope().guard().fail(error);
+    }
+
     @Override
     public void failed(CallFailure failure) {
         if (pending) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ServerCalls.java
@@ -211,20 +211,31 @@
 
         @Override
         public void connected() {
-            listener.connected();
+            run(listener::connected);
         }
 
         @Override
         public void foreignAnswerDropped() {
-            listener.foreignAnswerDropped();
+            run(listener::foreignAnswerDropped);
         }
 
         @Override
         public void head(HttpResponse response) {
-            readLimit(response);
-            readPause(response);
-            readLeaving(response);
-            listener.head(response);
+            run(() -> {
+                readLimit(response);
+                readPause(response);
+                readLeaving(response);
+                listener.head(response);
+            });
+        }
+
+        /** Tells the listener of an exception, which the event loop would take for a failure of the connection. */
+        private void run(Runnable step) {
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                listener.broken(e);
+            }
         }
 
         private void readLeaving(HttpResponse response) {
@@ -287,17 +298,17 @@
 
         @Override
         public void data(ByteBuf data) {
-            listener.data(data);
+            run(() -> listener.data(data));
         }
 
         @Override
         public void completed() {
-            listener.completed();
+            run(listener::completed);
         }
 
         @Override
         public void failed(CallFailure failure) {
-            listener.failed(failure);
+            run(() -> listener.failed(failure));
         }
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallListener.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/CallListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.mangoridge.core.verdict.AttemptProgress;
 
 /** Receives the events of one call to a server on the event loop; {@link #completed} or {@link #failed} is the last. */
 public interface CallListener {
@@ -23,4 +24,9 @@
 
     /** Called when the call failed; there will be no complete response. */
     void failed(CallFailure failure);
+
+    /** Called if another method of this listener, or the reading of its arguments, has thrown; ends the call. */
+    default void broken(RuntimeException error) {
+        failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "internal error: " + error));
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -1,5 +1,6 @@
 package org.mangoridge.gateway.net;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -284,6 +285,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            state.connectionFailed(cause);
+        }
         context.close();
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontState.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontState.java
@@ -10,4 +10,7 @@
 
     /** Returns whether the instance is draining, so that connections close after their next response. */
     boolean draining();
+
+    /** Called with what a connection is closed for, other than an error of its transport; it shows a defect. */
+    default void connectionFailed(Throwable cause) {}
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -37,6 +37,7 @@
 import org.mangoridge.gateway.gossip.LoadReport;
 import org.mangoridge.gateway.gossip.PeerTable;
 import org.mangoridge.gateway.log.EventSink;
+import org.mangoridge.gateway.log.GuardedTask;
 import org.mangoridge.gateway.net.BodyMemory;
 import org.mangoridge.gateway.net.FrontServer;
 import org.mangoridge.gateway.net.FrontState;
@@ -247,7 +248,7 @@
     }
 
     private void defer(Duration delay, Runnable task) {
-        loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(GuardedTask.of(log, "timer", task), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -290,10 +291,9 @@
 
     /** Logs failures of a tick; the event loop does not repeat a task that throws, and all timeouts depend on the tick. */
     private void safeTick() {
-        try {
-            tick();
-        } catch (RuntimeException e) {
-            log.log(LogEvent.INTERNAL_ERROR, Field.of("where", "tick"), Field.of("detail", e));
+        GuardedTask.run(log, "tick", this::tick);
+        if (drainingSince != null && !stopped) {
+            GuardedTask.run(log, "shutdown", () -> advanceShutdown(clock.elapsed()));
         }
     }
 
@@ -321,9 +321,6 @@
         if (drainingSince == null) {
             stages.tick(this::modelServers, peers.hasLowestId(settings.instance()));
         }
-        if (drainingSince != null && !stopped) {
-            advanceShutdown(now);
-        }
     }
 
     /** Returns the servers of the model service whose stages are managed, the first by name if there are several. */
@@ -353,14 +350,17 @@
             case END_REQUESTS -> endRequests(since);
             case END -> {
                 stopped = true;
-                endRequests(since);
-                log.log(
-                        LogEvent.INSTANCE_STOPPED,
-                        Field.of("after_ms", since),
-                        Field.of("requests_cut", front.unsentResponses()),
-                        Field.of("connections", front.connectionCount()));
-                loadGossip.leave();
-                terminated.countDown();
+                try {
+                    endRequests(since);
+                    log.log(
+                            LogEvent.INSTANCE_STOPPED,
+                            Field.of("after_ms", since),
+                            Field.of("requests_cut", front.unsentResponses()),
+                            Field.of("connections", front.connectionCount()));
+                    loadGossip.leave();
+                } finally {
+                    terminated.countDown();
+                }
             }
             default -> {
                 // Requests are in progress, or the load balancer may still send new ones.
@@ -416,6 +416,11 @@
         return drainingSince != null;
     }
 
+    @Override
+    public void connectionFailed(Throwable cause) {
+        GuardedTask.logError(log, "connection", cause);
+    }
+
     /** Returns the id of the instance. */
     public InstanceId instance() {
         return settings.instance();
