--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -29,6 +29,9 @@
 
 class FrontServerTest {
 
+    /** More than the socket buffers of both ends of a connection over loopback hold. */
+    private static final int BEYOND_SOCKET_BUFFERS = 64 << 20;
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final VirtualClock clock = VirtualClock.create();
     private final List<Socket> callers = new ArrayList<>();
@@ -108,6 +111,31 @@
         }
     }
 
+    /** A response that waited for a slow caller counted as sent, so that a shutdown could cut it. */
+    @Test
+    void aResponseThatItsCallerHasNotReadIsUnsent() throws Exception {
+        CompletableFuture<CallerExchange> received = new CompletableFuture<>();
+        FrontServer server =
+                FrontServer.create(group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        try (Socket caller = new Socket("127.0.0.1", server.port())) {
+            caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            CallerExchange exchange = received.get();
+            assertThat(group.next().submit(server::unsentResponses).get()).isEqualTo(1);
+            byte[] body = new byte[BEYOND_SOCKET_BUFFERS];
+            group.next()
+                    .submit(() -> exchange.respond(
+                            HttpResponseStatus.OK, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(body)))
+                    .sync();
+            assertThat(group.next().submit(server::requestsInProgress).get()).isEqualTo(0);
+            assertThat(group.next().submit(server::unsentResponses).get()).isEqualTo(1);
+            caller.getInputStream().readNBytes(body.length);
+            while (group.next().submit(server::unsentResponses).get() > 0) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     private static void writeEvents(CallerExchange exchange) {
         exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
         for (int event = 0; event < 1000; event++) {
