Judge streams of any number of tokens during a shutdown

DrainAdmissionTest.aStreamOfAnyNumberOfTokensIsJudged failed with an ArithmeticException before.

The margin is added to the duration itself now; it is the same for all other requests.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
@@ -18,8 +18,11 @@
 
     /** Requests are forgotten after one to two of these. */
     private static final Duration WINDOW = Duration.ofSeconds(30);
-    /** Margin over the longest recent request, since the next one may take longer than each of a limited number. */
-    private static final double HEADROOM = 1.25;
+    /**
+     * Divisor of the longest recent request that yields the margin over it, since the next one may take longer than each of
+     * a limited number.
+     */
+    private static final int HEADROOM_DIVISOR = 4;
 
     private final Map<String, Times> byRoute = new HashMap<>();
 
@@ -63,6 +66,6 @@
         }
         Duration longest =
                 times.first.value(now).plus(times.perToken.value(now).multipliedBy(Math.max(1, tokens.maxOutput())));
-        return Optional.of(Duration.ofNanos((long) (longest.toNanos() * HEADROOM)));
+        return Optional.of(longest.plus(longest.dividedBy(HEADROOM_DIVISOR)));
     }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -101,6 +101,15 @@
                 .isEqualTo(admitted);
     }
 
+    /** The expected time of a request with an odd number of tokens was beyond what a count of nanoseconds can hold. */
+    @Test
+    void aStreamOfAnyNumberOfTokensIsJudged() {
+        admission.servingTimes().record(drafts, tokens(1), millis(500), millis(14_000), millis(0));
+        admission.endAt(millis(6000));
+        assertThat(admission.admits(drafts, tokens(Integer.MAX_VALUE), TIMEOUT, millis(0)))
+                .isFalse();
+    }
+
     /** Both faults, at whatever speed the servers work and however long the grace period is. */
     @ParameterizedTest
     @CsvSource({"8, 0.1, 3.2", "8, 0.01, 0.3", "30, 0.5, 12", "3, 0.05, 0.8"})
