Log that a stream is cut before its caller sees it, as before

The fix for steps that throw had put the line behind the close, so that a failure of the log could not keep the stream open. The guard closes it in that case anyway (DefectTest, STREAM_CUT), so that the order is as it was.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
@@ -79,8 +79,8 @@
 
     /** Closes the connection, so that the caller sees that the stream is not complete. */
     void cut(String cause) {
-        scope.exchange().abort();
-        context.metrics().count("streams.cut");
         scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", position.lastId()));
+        context.metrics().count("streams.cut");
+        scope.exchange().abort();
     }
 }
