Log how much time a shutdown leaves a request, and show the memory in use

Gauges memory.request_bodies, memory.heap_used and memory.heap_limit on the metrics page. DrainAdmission is told the time of the signal.

Result: no decision changes.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -15,9 +15,20 @@
 public final class DrainAdmission {
 
     private final ServingTimes times = ServingTimes.create();
-    private Optional<Duration> end = Optional.empty();
+    private Optional<Shutdown> shutdown = Optional.empty();
     private boolean closed;
 
+    private record Shutdown(Duration signalled, Duration end) {}
+
+    /**
+     * What is known of the time of a request when it is judged during a shutdown.
+     *
+     * @param sinceSignal the time since the shutdown signal
+     * @param left the time until the instance answers what is in progress; negative after that
+     * @param expected the time within which the request is expected to end; empty if nothing is known
+     */
+    public record Outlook(Duration sinceSignal, Duration left, Optional<Duration> expected) {}
+
     private DrainAdmission() {}
 
     /** Returns an admission that takes every request. */
@@ -30,9 +41,14 @@
         return times;
     }
 
-    /** Takes only requests that are expected to end by {@code time}, when the instance answers what is in progress. */
-    public void endAt(Duration time) {
-        end = Optional.of(time);
+    /**
+     * Takes only requests that are expected to end in time from now on.
+     *
+     * @param signalled when the shutdown signal came
+     * @param end when the instance answers what is in progress
+     */
+    public void shutDown(Duration signalled, Duration end) {
+        shutdown = Optional.of(new Shutdown(signalled, end));
     }
 
     /** Takes no request any more. */
@@ -46,12 +62,19 @@
      * @param deadline when the request gets its final answer at the latest
      */
     public boolean admits(Route route, TokenDemand tokens, Duration deadline, Duration now) {
-        if (closed || end.isEmpty()) {
+        if (closed || shutdown.isEmpty()) {
             return !closed;
         }
-        return deadline.compareTo(end.get()) <= 0
+        Duration end = shutdown.get().end();
+        return deadline.compareTo(end) <= 0
                 || times.expected(route, tokens, now)
-                        .filter(expected -> now.plus(expected).compareTo(end.get()) <= 0)
+                        .filter(expected -> now.plus(expected).compareTo(end) <= 0)
                         .isPresent();
     }
+
+    /** Returns what is known of the time of a request, for the log; empty before the shutdown. */
+    public Optional<Outlook> outlook(Route route, TokenDemand tokens, Duration now) {
+        return shutdown.map(known ->
+                new Outlook(now.minus(known.signalled()), known.end().minus(now), times.expected(route, tokens, now)));
+    }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -60,7 +60,7 @@
     @Test
     void everythingIsAdmittedBeforeTheShutdownAndNothingAfterItsClose() {
         assertThat(admitsPlain(60_000, 0)).isTrue();
-        admission.endAt(millis(10_000));
+        admission.shutDown(Duration.ZERO, millis(10_000));
         admission.close();
         assertThat(admitsPlain(1, 0)).isFalse();
     }
@@ -71,14 +71,14 @@
     void requestsAreAdmittedWhileTheLongestOfLateWouldEndInTime(long longestMillis, long nowMillis, boolean admitted) {
         recordPlain(longestMillis, 0);
         recordPlain(longestMillis / 2, 0);
-        admission.endAt(millis(7300));
+        admission.shutDown(Duration.ZERO, millis(7300));
         assertThat(admitsPlain(60_000, nowMillis)).isEqualTo(admitted);
     }
 
     /** Refusing too much is a fault too: what gets its answer by its deadline needs no estimate. */
     @Test
     void aDeadlineBeforeTheEndIsAdmittedWhateverIsKnown() {
-        admission.endAt(millis(7300));
+        admission.shutDown(Duration.ZERO, millis(7300));
         assertThat(admitsPlain(7300, 6000)).isTrue();
         assertThat(admitsPlain(7301, 6000)).isFalse();
     }
@@ -87,7 +87,7 @@
     @ValueSource(ints = {29_999, 61_000})
     void requestsOfLongAgoDoNotCount(int agoMillis) {
         recordPlain(100, 0);
-        admission.endAt(millis(agoMillis + 7300L));
+        admission.shutDown(Duration.ZERO, millis(agoMillis + 7300L));
         assertThat(admitsPlain(agoMillis + 60_000L, agoMillis)).isEqualTo(agoMillis < 30_000);
     }
 
@@ -96,7 +96,7 @@
     @CsvSource({"50, true", "100, true", "150, false"})
     void aStreamIsJudgedByTheTokensThatItMayGenerate(int maxOutput, boolean admitted) {
         admission.servingTimes().record(drafts, tokens(50), millis(500), millis(2500), millis(0));
-        admission.endAt(millis(6000));
+        admission.shutDown(Duration.ZERO, millis(6000));
         assertThat(admission.admits(drafts, tokens(maxOutput), TIMEOUT, millis(0)))
                 .isEqualTo(admitted);
     }
@@ -105,7 +105,7 @@
     @Test
     void aStreamOfAnyNumberOfTokensIsJudged() {
         admission.servingTimes().record(drafts, tokens(1), millis(500), millis(14_000), millis(0));
-        admission.endAt(millis(6000));
+        admission.shutDown(Duration.ZERO, millis(6000));
         assertThat(admission.admits(drafts, tokens(Integer.MAX_VALUE), TIMEOUT, millis(0)))
                 .isFalse();
     }
@@ -120,7 +120,7 @@
             recordPlain((long) (1000 * random.nextDouble(shortestSeconds, longestSeconds)), 0);
         }
         long end = graceSeconds * 1000L;
-        admission.endAt(millis(end));
+        admission.shutDown(Duration.ZERO, millis(end));
         int outlasting = 0;
         int refusedInVain = 0;
         for (int i = 0; i < 1000; i++) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayMetrics.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
@@ -33,6 +34,11 @@
         registry.counter(name).inc();
     }
 
+    /** Shows a value that is read whenever the metrics are. */
+    public void show(String name, LongSupplier value) {
+        registry.gauge(name, () -> value::getAsLong);
+    }
+
     /** Counts a refusal under its reason. */
     void countRefusal(RefusalReason reason) {
         count("refused." + reason.code());
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -248,6 +249,7 @@
         fields.add(Field.of("begun", begun));
         fields.add(Field.of("detail", detail));
         fields.addAll(withheldFields(List.of()));
+        fields.addAll(shutdownFields());
         refusal.retryAfter().ifPresent(after -> fields.add(Field.of("retry_after_ms", after)));
         log(LogEvent.REQUEST_REFUSED, fields.toArray(Field[]::new));
     }
@@ -290,10 +292,22 @@
         return fields;
     }
 
+    /** Returns fields that tell how much time a shutdown leaves the request; none before the shutdown. */
+    private List<Field> shutdownFields() {
+        List<Field> fields = new ArrayList<>();
+        context.admission().outlook(route, caller.tokens(), context.now()).ifPresent(outlook -> {
+            fields.add(Field.of("draining_ms", outlook.sinceSignal()));
+            fields.add(Field.of("left_ms", outlook.left()));
+            outlook.expected().ifPresent(expected -> fields.add(Field.of("expected_ms", expected)));
+        });
+        return fields;
+    }
+
     /** Logs where the request goes, and how limits bear on that. */
     void logPlaced(List<ServerEntry> chosen, Field... inputs) {
         List<Field> fields = new ArrayList<>(List.of(inputs));
         fields.addAll(withheldFields(chosen));
+        fields.addAll(shutdownFields());
         log(LogEvent.REQUEST_PLACED, fields.toArray(Field[]::new));
     }
 
@@ -310,6 +324,16 @@
         context.log().log(event, fields);
     }
 
+    /** Logs that the caller saw its stream end before it was complete. */
+    void logCut(String cause, OptionalLong lastEvent) {
+        List<Field> fields = new ArrayList<>();
+        fields.add(Field.of("cause", cause));
+        fields.add(Field.of("last_event", lastEvent));
+        fields.add(Field.of("expected_output", caller.tokens().expectedOutput()));
+        fields.addAll(shutdownFields());
+        log(LogEvent.STREAM_CUT, fields.toArray(Field[]::new));
+    }
+
     /** Logs that an attempt at a server produced no response that can be forwarded. */
     void logAttemptFailed(ServerId server, String detail, Field... inputs) {
         List<Field> fields = new ArrayList<>(List.of(inputs));
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/StreamResponse.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import org.mangoridge.core.event.Field;
-import org.mangoridge.core.event.LogEvent;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.StreamPosition;
 
@@ -79,7 +78,7 @@
 
     /** Closes the connection, so that the caller sees that the stream is not complete. */
     void cut(String cause) {
-        scope.log(LogEvent.STREAM_CUT, Field.of("cause", cause), Field.of("last_event", position.lastId()));
+        scope.logCut(cause, position.lastId());
         context.metrics().count("streams.cut");
         scope.exchange().abort();
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyMemory.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyMemory.java
@@ -18,6 +18,11 @@
         return new BodyMemory(limitBytes);
     }
 
+    /** Returns the bytes that are held now. */
+    public long usedBytes() {
+        return usedBytes;
+    }
+
     boolean tryReserve(int bytes) {
         if (usedBytes + bytes > limitBytes) {
             return false;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -123,6 +123,11 @@
         context.calls().onAnnouncement(loadGossip::evidenceObserved);
         loads.onOwnChange(loadGossip::loadChanged);
         BodyMemory memory = BodyMemory.of(settings.memoryBytes() / BODY_MEMORY_DIVISOR);
+        requestMetrics.show("memory.request_bodies", memory::usedBytes);
+        requestMetrics.show(
+                "memory.heap_used",
+                () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        requestMetrics.show("memory.heap_limit", () -> Runtime.getRuntime().maxMemory());
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
         this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
         GatewayFeeds feeds = feedFactory.create(loop, pool::call, context.calls());
@@ -382,7 +387,7 @@
         loop.execute(() -> {
             if (drainingSince == null) {
                 drainingSince = clock.elapsed();
-                context.admission().endAt(drainingSince.plus(shutdownPlan.endOfRequests()));
+                context.admission().shutDown(drainingSince, drainingSince.plus(shutdownPlan.endOfRequests()));
                 stages.releaseLease();
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.requestsInProgress()));
             }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/StatusHandler.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/StatusHandler.java
@@ -48,6 +48,10 @@
                 .getCounters()
                 .forEach((name, counter) ->
                         text.append(name).append(' ').append(counter.getCount()).append('\n'));
+        metrics.registry()
+                .getGauges()
+                .forEach((name, gauge) ->
+                        text.append(name).append(' ').append(gauge.getValue()).append('\n'));
         metrics.registry().getHistograms().forEach((name, histogram) -> {
             Snapshot snapshot = histogram.getSnapshot();
             text.append(name).append(".count ").append(histogram.getCount()).append('\n');
