Tests of the admission during a shutdown that fail: streams cut and refused

Change: two tests without network. One takes a stream late in the stop after a few short ones; the other plays streams of varied length, with a caller's rough estimate, at three speeds.

--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -19,6 +19,10 @@
 class DrainAdmissionTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(14);
+    /** Longer than any stream that is simulated. */
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(60);
+    /** Time after the signal within which callers can't know yet that the instance stops. */
+    private static final Duration EXCUSED_TIME = Duration.ofSeconds(3);
 
     private final DrainAdmission admission = DrainAdmission.create();
     private final Route orders = route("orders", false);
@@ -53,6 +57,10 @@
                 .record(orders, TokenDemand.NONE, millis(tookMillis), millis(tookMillis), millis(atMillis));
     }
 
+    private void recordStream(TokenDemand tokens, int events, Duration first, Duration gap) {
+        admission.servingTimes().record(drafts, tokens, first, first.plus(gap.multipliedBy(events)), Duration.ZERO);
+    }
+
     private boolean admitsPlain(long deadlineMillis, long nowMillis) {
         return admission.admits(orders, TokenDemand.NONE, millis(deadlineMillis), millis(nowMillis));
     }
@@ -133,4 +141,77 @@
         assertThat(outlasting).isEqualTo(0);
         assertThat(refusedInVain).isEqualTo(0);
     }
+
+    /** Streams that an instance took long after its shutdown signal were cut: few and short ones had told it what to expect. */
+    @ParameterizedTest
+    @ValueSource(ints = {3000, 4950, 7000})
+    void aStreamSentAfterTheBalancersDelayIsTakenOnlyIfItsDeadlineComesInTime(int nowMillis) {
+        for (int i = 1; i <= 12; i++) {
+            recordStream(tokens(1870), 10 * i, millis(100), millis(25));
+        }
+        admission.shutDown(Duration.ZERO, millis(7300));
+        assertThat(admission.admits(drafts, tokens(1870), TIMEOUT, millis(nowMillis)))
+                .isFalse();
+        assertThat(admission.admits(drafts, tokens(1870), millis(7300), millis(nowMillis)))
+                .isTrue();
+    }
+
+    /**
+     * Of the streams sent in the first seconds after the signal, most were refused though they would have ended in time, and
+     * some were taken and cut.
+     */
+    @ParameterizedTest
+    @CsvSource({"8000, 44, 20", "8000, 7, 20", "30000, 132, 20", "8000, 44, 200"})
+    void fewStreamsAreRefusedInTheFirstSecondsAndNoneIsCutThatCameLater(
+            int graceMillis, int millisPerEvent, int servedBefore) {
+        SplittableRandom random = new SplittableRandom(45);
+        for (int i = 0; i < servedBefore; i++) {
+            SimulatedStream served = SimulatedStream.draw(random, millisPerEvent);
+            recordStream(served.tokens(), served.events(), served.first(), served.gap());
+        }
+        Duration end = millis(graceMillis - 700L);
+        admission.shutDown(Duration.ZERO, end);
+        int refusedEarly = 0;
+        int cutEarly = 0;
+        int cutLate = 0;
+        int early = 0;
+        int count = 1000;
+        for (int i = 0; i < count; i++) {
+            Duration now = end.multipliedBy(i).dividedBy(count);
+            boolean late = now.compareTo(EXCUSED_TIME) > 0;
+            SimulatedStream stream = SimulatedStream.draw(random, millisPerEvent);
+            boolean admitted = admission.admits(drafts, stream.tokens(), now.plus(LONG_TIMEOUT), now);
+            boolean cut = admitted && now.plus(stream.whole()).compareTo(end) > 0;
+            early += late ? 0 : 1;
+            refusedEarly += late || admitted ? 0 : 1;
+            cutEarly += !late && cut ? 1 : 0;
+            cutLate += late && cut ? 1 : 0;
+        }
+        assertThat(cutLate).isEqualTo(0);
+        assertThat(refusedEarly).isAtMost(early * 28 / 67);
+        assertThat(cutEarly).isAtMost(early * 2 / 67);
+    }
+
+    /** A stream of a length that varies much, whose caller knows it roughly. */
+    private record SimulatedStream(TokenDemand tokens, int events, Duration first, Duration gap) {
+
+        private static final int TOKENS_PER_EVENT = 11;
+        private static final int MAX_EVENTS = 170;
+
+        static SimulatedStream draw(SplittableRandom random, int millisPerEvent) {
+            int events = (int) Math.clamp(72 * Math.exp(0.7 * random.nextGaussian() - 0.245), 1, MAX_EVENTS);
+            int hint = (int) (events * TOKENS_PER_EVENT * Math.exp(0.5 * random.nextGaussian()));
+            int maxOutput = MAX_EVENTS * TOKENS_PER_EVENT;
+            double serverPace = random.nextInt(3) == 0 ? 1.2 : 0.9;
+            return new SimulatedStream(
+                    new TokenDemand(3000, maxOutput, Math.min(maxOutput, hint)),
+                    events,
+                    millis(100 + random.nextInt(200)),
+                    Duration.ofNanos((long) (serverPace * millisPerEvent * 1e6)));
+        }
+
+        Duration whole() {
+            return first.plus(gap.multipliedBy(events));
+        }
+    }
 }
