Judge streams in a shutdown by pace and expected length, and late ones by their deadline

Callers saw streams end in the middle around a planned stop (LOST), and most others of the first seconds refused, which costs them their one retry.

Cause: the time of a stream was estimated as the longest of the few recent ones on the instance's own route, by the maximum of tokens that all of them ask for. After a few short streams it is far too short, so that a stream was taken 4.95 s after the signal and cut 2.4 s later; with a long one among them it refuses nearly all. Class: the extreme of a small sample used as a bound, on a quantity that does not vary with the request.

Evidence: DrainAdmissionTest, red before: 411 of 411 streams of the first 3 s refused, and a stream of up to 1,870 tokens taken with 4.3 s left.

Change: ServingTimes keeps the pace of the service, told by streams in progress too, and the time to the first event; a stream's length is what its caller expects. An estimate decides only while callers can't have gone elsewhere. Later a stream is sent only if its deadline comes before the end: once begun it can't be answered any more, only cut. A request is judged again when its reservation and its prefill are done.

Why it works: an estimate is wrong now and then, and where that is not excused no estimate decides.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.request.TokenDemand;
 
@@ -10,16 +11,35 @@
  * Decides which requests an instance still sends to servers: all until it shuts down, and then those that are expected to
  * end before it stops; not thread-safe.
  *
- * <p>A request that would outlast the instance is better refused as not run, since another instance can serve it.
+ * <p>A request that would outlast the instance is better refused as not run, since another instance can serve it. A plain
+ * one that outlasts it after all is answered; a stream that has begun can only be cut. So a stream that came when its caller
+ * could have gone elsewhere is sent only if it is certain to end in time.
  */
 public final class DrainAdmission {
 
+    /**
+     * Time after the shutdown signal in which callers can't have gone elsewhere: two health checks of the load balancer, less
+     * the time that the signal or a request is on its way.
+     */
+    static final Duration BALANCER_DELAY = Duration.ofMillis(2800);
+
     private final ServingTimes times = ServingTimes.create();
     private Optional<Shutdown> shutdown = Optional.empty();
     private boolean closed;
 
     private record Shutdown(Duration signalled, Duration end) {}
 
+    /**
+     * A request to be judged.
+     *
+     * @param route its route
+     * @param service its service
+     * @param tokens its token counts; {@link TokenDemand#NONE} if it is no model request
+     * @param received when it had been read
+     * @param deadline when it gets its final answer at the latest
+     */
+    public record Request(Route route, ServiceId service, TokenDemand tokens, Duration received, Duration deadline) {}
+
     /**
      * What is known of the time of a request when it is judged during a shutdown.
      *
@@ -56,25 +76,32 @@
         closed = true;
     }
 
-    /**
-     * Returns whether a request may be sent to a server now.
-     *
-     * @param deadline when the request gets its final answer at the latest
-     */
-    public boolean admits(Route route, TokenDemand tokens, Duration deadline, Duration now) {
+    /** Returns whether a request may be sent to a server now. */
+    public boolean admits(Request request, Duration now) {
         if (closed || shutdown.isEmpty()) {
             return !closed;
         }
         Duration end = shutdown.get().end();
-        return deadline.compareTo(end) <= 0
-                || times.expected(route, tokens, now)
-                        .filter(expected -> now.plus(expected).compareTo(end) <= 0)
-                        .isPresent();
+        if (request.deadline().compareTo(end) <= 0) {
+            return true;
+        }
+        Duration reaction = request.received().minus(shutdown.get().signalled());
+        if (request.route().streaming() && reaction.compareTo(BALANCER_DELAY) > 0) {
+            return false;
+        }
+        return expected(request, now)
+                .filter(expected -> now.plus(expected).compareTo(end) <= 0)
+                .isPresent();
     }
 
     /** Returns what is known of the time of a request, for the log; empty before the shutdown. */
-    public Optional<Outlook> outlook(Route route, TokenDemand tokens, Duration now) {
-        return shutdown.map(known ->
-                new Outlook(now.minus(known.signalled()), known.end().minus(now), times.expected(route, tokens, now)));
+    public Optional<Outlook> outlook(Request request, Duration now) {
+        return shutdown.map(
+                known -> new Outlook(now.minus(known.signalled()), known.end().minus(now), expected(request, now)));
+    }
+
+    private Optional<Duration> expected(Request request, Duration now) {
+        return times.expectedStream(request.service(), request.tokens(), now)
+                .or(() -> times.expectedPlain(request.route(), now));
     }
 }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
@@ -6,30 +6,38 @@
 import java.util.Optional;
 
 import org.mangoridge.core.Checks;
+import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.request.TokenDemand;
 
 /**
- * How long requests of each route took lately, to tell how long another one may take; not thread-safe.
+ * How long requests took lately, to tell how long another one may take; not thread-safe.
  *
- * <p>A stream is taken apart into the time to its first event and a time for each token that it may generate.
+ * <p>The time of a plain request is known by its route. That of a stream follows from the tokens that its caller expects and
+ * from the pace of the service, which streams in progress tell as well, whatever their route and length.
  */
 public final class ServingTimes {
 
-    /** Requests are forgotten after one to two of these. */
+    /** Plain requests are forgotten after one to two of these, streams after one. */
     private static final Duration WINDOW = Duration.ofSeconds(30);
-    /**
-     * Divisor of the longest recent request that yields the margin over it, since the next one may take longer than each of
-     * a limited number.
-     */
+    /** Number of the newest streams, and of the newest parts of streams, that are remembered. */
+    private static final int SAMPLE_SIZE = 64;
+    /** Share of the recent streams that are as fast as expected, so that a single slow one does not count. */
+    private static final double COVERED_SHARE = 0.8;
+    /** Divisor of an estimate that yields the margin over it. */
     private static final int HEADROOM_DIVISOR = 4;
 
-    private final Map<String, Times> byRoute = new HashMap<>();
+    private final Map<String, RecentMaximum> byRoute = new HashMap<>();
+    private final Map<ServiceId, Streams> byService = new HashMap<>();
 
-    private record Times(RecentMaximum first, RecentMaximum perToken) {
+    private record Streams(RecentSample first, RecentSample perToken) {
+
+        static Streams create() {
+            return new Streams(RecentSample.of(SAMPLE_SIZE, WINDOW), RecentSample.of(SAMPLE_SIZE, WINDOW));
+        }
 
         boolean isForgotten(Duration now) {
-            return first.value(now).isZero();
+            return first.isEmpty(now) && perToken.isEmpty(now);
         }
     }
 
@@ -40,32 +48,62 @@
         return new ServingTimes();
     }
 
-    /**
-     * Records a request that has been served, or that has ended without an answer after {@code whole}.
-     *
-     * @param first the time to the first event of a stream; that to the answer otherwise
-     * @param whole the time to the end
-     */
-    public void record(Route route, TokenDemand tokens, Duration first, Duration whole, Duration now) {
-        Checks.argument(first.compareTo(whole) <= 0, "the first event came after the end: %s, %s", first, whole);
-        Times times = byRoute.get(route.name());
-        if (times == null) {
-            byRoute.values().removeIf(other -> other.isForgotten(now));
-            times = new Times(new RecentMaximum(WINDOW, now), new RecentMaximum(WINDOW, now));
-            byRoute.put(route.name(), times);
+    /** Records a plain request that has been served, or that has ended without an answer, after {@code took}. */
+    public void recordPlain(Route route, Duration took, Duration now) {
+        RecentMaximum longest = byRoute.get(route.name());
+        if (longest == null) {
+            byRoute.values().removeIf(other -> other.value(now).isZero());
+            longest = new RecentMaximum(WINDOW, now);
+            byRoute.put(route.name(), longest);
         }
-        times.first.record(first, now);
-        times.perToken.record(whole.minus(first).dividedBy(Math.max(1, tokens.maxOutput())), now);
+        longest.record(took, now);
+    }
+
+    /** Records the time to the first event of a stream. */
+    public void recordFirstEvent(ServiceId service, Duration took, Duration now) {
+        streams(service, now).first.record(took, now);
     }
 
-    /** Returns the time within which a request of the route is expected to end; empty if there was none lately. */
-    public Optional<Duration> expected(Route route, TokenDemand tokens, Duration now) {
-        Times times = byRoute.get(route.name());
-        if (times == null || times.isForgotten(now)) {
+    /** Records that a stream has gone on by {@code tokens} within {@code took}. */
+    public void recordPace(ServiceId service, int tokens, Duration took, Duration now) {
+        Checks.argument(tokens > 0, "tokens must be positive: %d", tokens);
+        streams(service, now).perToken.record(took.dividedBy(tokens), now);
+    }
+
+    private Streams streams(ServiceId service, Duration now) {
+        Streams known = byService.get(service);
+        if (known == null) {
+            byService.values().removeIf(other -> other.isForgotten(now));
+            known = Streams.create();
+            byService.put(service, known);
+        }
+        return known;
+    }
+
+    /** Returns the time within which a plain request is expected to end; empty if its route had none lately. */
+    Optional<Duration> expectedPlain(Route route, Duration now) {
+        return Optional.ofNullable(byRoute.get(route.name()))
+                .map(longest -> longest.value(now))
+                .filter(Duration::isPositive)
+                .map(ServingTimes::withHeadroom);
+    }
+
+    /** Returns the time within which a stream is expected to end; empty if the service had none lately. */
+    Optional<Duration> expectedStream(ServiceId service, TokenDemand tokens, Duration now) {
+        Streams known = byService.get(service);
+        if (known == null) {
             return Optional.empty();
         }
-        Duration longest =
-                times.first.value(now).plus(times.perToken.value(now).multipliedBy(Math.max(1, tokens.maxOutput())));
-        return Optional.of(longest.plus(longest.dividedBy(HEADROOM_DIVISOR)));
+        Optional<Duration> first = known.first.quantile(COVERED_SHARE, now);
+        Optional<Duration> perToken = known.perToken.quantile(COVERED_SHARE, now);
+        if (first.isEmpty() || perToken.isEmpty()) {
+            return Optional.empty();
+        }
+        int output = Math.max(1, tokens.expectedOutput());
+        return Optional.of(withHeadroom(first.get().plus(perToken.get().multipliedBy(output))));
+    }
+
+    private static Duration withHeadroom(Duration expected) {
+        return expected.plus(expected.dividedBy(HEADROOM_DIVISOR));
     }
 }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -18,6 +18,7 @@
 
 class DrainAdmissionTest {
 
+    private static final ServiceId SERVICE = ServiceId.of("service");
     private static final Duration TIMEOUT = Duration.ofSeconds(14);
     /** Longer than any stream that is simulated. */
     private static final Duration LONG_TIMEOUT = Duration.ofSeconds(60);
@@ -35,7 +36,7 @@
                 "/" + name + "/",
                 streaming,
                 RetryPolicy.AT_MOST_ONCE,
-                List.of(new WeightedService(ServiceId.of("service"), 1)),
+                List.of(new WeightedService(SERVICE, 1)),
                 TIMEOUT,
                 Duration.ofMillis(900),
                 Duration.ZERO,
@@ -52,17 +53,21 @@
     }
 
     private void recordPlain(long tookMillis, long atMillis) {
-        admission
-                .servingTimes()
-                .record(orders, TokenDemand.NONE, millis(tookMillis), millis(tookMillis), millis(atMillis));
+        admission.servingTimes().recordPlain(orders, millis(tookMillis), millis(atMillis));
     }
 
-    private void recordStream(TokenDemand tokens, int events, Duration first, Duration gap) {
-        admission.servingTimes().record(drafts, tokens, first, first.plus(gap.multipliedBy(events)), Duration.ZERO);
+    private void recordStream(int events, Duration first, Duration gap) {
+        int generated = events * SimulatedStream.TOKENS_PER_EVENT;
+        admission.servingTimes().recordFirstEvent(SERVICE, first, Duration.ZERO);
+        admission.servingTimes().recordPace(SERVICE, generated, gap.multipliedBy(events), Duration.ZERO);
+    }
+
+    private boolean admits(Route route, TokenDemand tokens, Duration deadline, Duration now) {
+        return admission.admits(new DrainAdmission.Request(route, SERVICE, tokens, now, deadline), now);
     }
 
     private boolean admitsPlain(long deadlineMillis, long nowMillis) {
-        return admission.admits(orders, TokenDemand.NONE, millis(deadlineMillis), millis(nowMillis));
+        return admits(orders, TokenDemand.NONE, millis(deadlineMillis), millis(nowMillis));
     }
 
     @Test
@@ -103,18 +108,19 @@
     @ParameterizedTest
     @CsvSource({"50, true", "100, true", "150, false"})
     void aStreamIsJudgedByTheTokensThatItMayGenerate(int maxOutput, boolean admitted) {
-        admission.servingTimes().record(drafts, tokens(50), millis(500), millis(2500), millis(0));
+        admission.servingTimes().recordFirstEvent(SERVICE, millis(500), millis(0));
+        admission.servingTimes().recordPace(SERVICE, 50, millis(2000), millis(0));
         admission.shutDown(Duration.ZERO, millis(6000));
-        assertThat(admission.admits(drafts, tokens(maxOutput), TIMEOUT, millis(0)))
-                .isEqualTo(admitted);
+        assertThat(admits(drafts, tokens(maxOutput), TIMEOUT, millis(0))).isEqualTo(admitted);
     }
 
     /** The expected time of a request with an odd number of tokens was beyond what a count of nanoseconds can hold. */
     @Test
     void aStreamOfAnyNumberOfTokensIsJudged() {
-        admission.servingTimes().record(drafts, tokens(1), millis(500), millis(14_000), millis(0));
+        admission.servingTimes().recordFirstEvent(SERVICE, millis(500), millis(0));
+        admission.servingTimes().recordPace(SERVICE, 1, millis(13_500), millis(0));
         admission.shutDown(Duration.ZERO, millis(6000));
-        assertThat(admission.admits(drafts, tokens(Integer.MAX_VALUE), TIMEOUT, millis(0)))
+        assertThat(admits(drafts, tokens(Integer.MAX_VALUE), TIMEOUT, millis(0)))
                 .isFalse();
     }
 
@@ -147,12 +153,11 @@
     @ValueSource(ints = {3000, 4950, 7000})
     void aStreamSentAfterTheBalancersDelayIsTakenOnlyIfItsDeadlineComesInTime(int nowMillis) {
         for (int i = 1; i <= 12; i++) {
-            recordStream(tokens(1870), 10 * i, millis(100), millis(25));
+            recordStream(10 * i, millis(100), millis(25));
         }
         admission.shutDown(Duration.ZERO, millis(7300));
-        assertThat(admission.admits(drafts, tokens(1870), TIMEOUT, millis(nowMillis)))
-                .isFalse();
-        assertThat(admission.admits(drafts, tokens(1870), millis(7300), millis(nowMillis)))
+        assertThat(admits(drafts, tokens(1870), TIMEOUT, millis(nowMillis))).isFalse();
+        assertThat(admits(drafts, tokens(1870), millis(7300), millis(nowMillis)))
                 .isTrue();
     }
 
@@ -167,7 +172,7 @@
         SplittableRandom random = new SplittableRandom(45);
         for (int i = 0; i < servedBefore; i++) {
             SimulatedStream served = SimulatedStream.draw(random, millisPerEvent);
-            recordStream(served.tokens(), served.events(), served.first(), served.gap());
+            recordStream(served.events(), served.first(), served.gap());
         }
         Duration end = millis(graceMillis - 700L);
         admission.shutDown(Duration.ZERO, end);
@@ -180,7 +185,7 @@
             Duration now = end.multipliedBy(i).dividedBy(count);
             boolean late = now.compareTo(EXCUSED_TIME) > 0;
             SimulatedStream stream = SimulatedStream.draw(random, millisPerEvent);
-            boolean admitted = admission.admits(drafts, stream.tokens(), now.plus(LONG_TIMEOUT), now);
+            boolean admitted = admits(drafts, stream.tokens(), now.plus(LONG_TIMEOUT), now);
             boolean cut = admitted && now.plus(stream.whole()).compareTo(end) > 0;
             early += late ? 0 : 1;
             refusedEarly += late || admitted ? 0 : 1;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -71,6 +71,10 @@
 
     private boolean survivalRecorded;
     private int eventCount;
+    /** Number of events, and the time, up to which the pace of the stream was recorded. */
+    private int paceEvents = 1;
+
+    private Duration paceTime;
     private boolean resuming;
     private boolean released;
 
@@ -287,6 +291,7 @@
     private void deliver(EventBuffer.Event event) {
         if (firstEventAt == null) {
             firstEventAt = context.now();
+            paceTime = firstEventAt;
             onFirstEvent();
         } else if (context.now().minus(firstEventAt).compareTo(SURVIVAL_TIME) >= 0) {
             recordSurvival();
@@ -295,10 +300,22 @@
         silenceChecks = 0;
         restartSilenceTimer(silenceTime);
         if (!event.separator() && ++eventCount % EngineSpec.EVENTS_PER_LOAD_UPDATE == 0) {
+            recordPace();
             updateLoad();
         }
     }
 
+    /** Records the pace of the events since the last time, so that a stream in progress tells it too. */
+    private void recordPace() {
+        if (eventCount > paceEvents) {
+            Duration now = context.now();
+            int tokens = (eventCount - paceEvents) * exchange.spec().maxTokensPerEvent();
+            context.admission().servingTimes().recordPace(exchange.scope().service(), tokens, now.minus(paceTime), now);
+            paceEvents = eventCount;
+            paceTime = now;
+        }
+    }
+
     /** Updates the KV cache that is accounted for the request according to the events received so far. */
     private void updateLoad() {
         int generated = eventCount * exchange.spec().maxTokensPerEvent();
@@ -369,6 +386,7 @@
             }
             context.serverHealth().recordAnswer(server, false, took, context.now());
             recordSurvival();
+            recordPace();
             exchange.answeredBy(this);
             exchange.response().start(head);
             release();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -214,7 +214,7 @@
 
     /** Starts the prefill after the decode server granted the reservation or turned out not to support reservations. */
     void reservationAccepted() {
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || refuseIfTooLate()) {
             return;
         }
         if (context.calls().isPaused(prefill.server())) {
@@ -246,7 +246,7 @@
 
     /** Starts the decode after the prefill is complete. */
     void prefillCompleted() {
-        if (refuseIfQuarantined()) {
+        if (refuseIfQuarantined() || refuseIfTooLate()) {
             return;
         }
         if (context.calls().isPaused(decode.server())) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -16,6 +16,7 @@
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.dispatch.balance.DrainAdmission;
 import org.mangoridge.dispatch.balance.EnginePlacement;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.directory.ServerEntry;
@@ -44,9 +45,7 @@
     private final long configVersion;
     private final Duration started;
     private final Duration deadline;
-    /** When the first event of a stream came; null before, and for other requests. */
-    private Duration firstEventAt;
-
+    private boolean streamBegun;
     private final RequestGuard guard;
     private Verdict verdict = Verdict.NOT_RUN;
     private int runs;
@@ -183,20 +182,25 @@
 
     /** Records that the first event of a stream has come. */
     void recordFirstEvent() {
-        firstEventAt = context.now();
+        streamBegun = true;
+        Duration now = context.now();
+        context.admission().servingTimes().recordFirstEvent(service, now.minus(started), now);
     }
 
     private void recordServingTime() {
-        Duration now = context.now();
-        Duration first = firstEventAt == null ? now : firstEventAt;
-        context.admission()
-                .servingTimes()
-                .record(route, caller.tokens(), first.minus(started), now.minus(started), now);
+        if (!streamBegun) {
+            Duration now = context.now();
+            context.admission().servingTimes().recordPlain(route, now.minus(started), now);
+        }
     }
 
     /** Returns whether the instance shuts down before the request would end if it were sent to a server now. */
     boolean isTooLate() {
-        return !context.admission().admits(route, caller.tokens(), deadline, context.now());
+        return !context.admission().admits(admissionRequest(), context.now());
+    }
+
+    private DrainAdmission.Request admissionRequest() {
+        return new DrainAdmission.Request(route, service, caller.tokens(), started, deadline);
     }
 
     /** Refuses the request if the instance shuts down before it would end; returns whether it was refused. */
@@ -295,7 +299,7 @@
     /** Returns fields that tell how much time a shutdown leaves the request; none before the shutdown. */
     private List<Field> shutdownFields() {
         List<Field> fields = new ArrayList<>();
-        context.admission().outlook(route, caller.tokens(), context.now()).ifPresent(outlook -> {
+        context.admission().outlook(admissionRequest(), context.now()).ifPresent(outlook -> {
             fields.add(Field.of("draining_ms", outlook.sinceSignal()));
             fields.add(Field.of("left_ms", outlook.left()));
             outlook.expected().ifPresent(expected -> fields.add(Field.of("expected_ms", expected)));
