Let streams that have begun go on until the instance stops

Callers saw streams cut 0.7 s before the end of the grace period, 0.2 s before the process stopped.

Cause: at the end of requests everything in progress was ended, so that answers could still be sent. A stream that has begun can't be answered any more; ending it early gains nothing.

Change: at the end of requests those whose responses have not begun are answered; streams go on until the process stops. The admission judges a stream by that time.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.mangoridge.core.Checks;
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.request.TokenDemand;
@@ -27,7 +28,12 @@
     private Optional<Shutdown> shutdown = Optional.empty();
     private boolean closed;
 
-    private record Shutdown(Duration signalled, Duration end) {}
+    private record Shutdown(Duration signalled, Duration end, Duration streamEnd) {
+
+        Duration endOf(Request request) {
+            return request.route().streaming() ? streamEnd : end;
+        }
+    }
 
     /**
      * A request to be judged.
@@ -44,7 +50,7 @@
      * What is known of the time of a request when it is judged during a shutdown.
      *
      * @param sinceSignal the time since the shutdown signal
-     * @param left the time until the instance answers what is in progress; negative after that
+     * @param left the time until the instance ends such requests; negative after that
      * @param expected the time within which the request is expected to end; empty if nothing is known
      */
     public record Outlook(Duration sinceSignal, Duration left, Optional<Duration> expected) {}
@@ -65,10 +71,12 @@
      * Takes only requests that are expected to end in time from now on.
      *
      * @param signalled when the shutdown signal came
-     * @param end when the instance answers what is in progress
+     * @param end when the instance answers the requests whose responses have not begun
+     * @param streamEnd when it cuts the streams that have begun; not before {@code end}
      */
-    public void shutDown(Duration signalled, Duration end) {
-        shutdown = Optional.of(new Shutdown(signalled, end));
+    public void shutDown(Duration signalled, Duration end, Duration streamEnd) {
+        Checks.argument(end.compareTo(streamEnd) <= 0, "streams end before requests: %s, %s", streamEnd, end);
+        shutdown = Optional.of(new Shutdown(signalled, end, streamEnd));
     }
 
     /** Takes no request any more. */
@@ -81,7 +89,7 @@
         if (closed || shutdown.isEmpty()) {
             return !closed;
         }
-        Duration end = shutdown.get().end();
+        Duration end = shutdown.get().endOf(request);
         if (request.deadline().compareTo(end) <= 0) {
             return true;
         }
@@ -96,8 +104,8 @@
 
     /** Returns what is known of the time of a request, for the log; empty before the shutdown. */
     public Optional<Outlook> outlook(Request request, Duration now) {
-        return shutdown.map(
-                known -> new Outlook(now.minus(known.signalled()), known.end().minus(now), expected(request, now)));
+        return shutdown.map(known ->
+                new Outlook(now.minus(known.signalled()), known.endOf(request).minus(now), expected(request, now)));
     }
 
     private Optional<Duration> expected(Request request, Duration now) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -62,6 +62,10 @@
         admission.servingTimes().recordPace(SERVICE, generated, gap.multipliedBy(events), Duration.ZERO);
     }
 
+    private void shutDown(Duration end) {
+        admission.shutDown(Duration.ZERO, end, end);
+    }
+
     private boolean admits(Route route, TokenDemand tokens, Duration deadline, Duration now) {
         return admission.admits(new DrainAdmission.Request(route, SERVICE, tokens, now, deadline), now);
     }
@@ -73,7 +77,7 @@
     @Test
     void everythingIsAdmittedBeforeTheShutdownAndNothingAfterItsClose() {
         assertThat(admitsPlain(60_000, 0)).isTrue();
-        admission.shutDown(Duration.ZERO, millis(10_000));
+        shutDown(millis(10_000));
         admission.close();
         assertThat(admitsPlain(1, 0)).isFalse();
     }
@@ -84,14 +88,14 @@
     void requestsAreAdmittedWhileTheLongestOfLateWouldEndInTime(long longestMillis, long nowMillis, boolean admitted) {
         recordPlain(longestMillis, 0);
         recordPlain(longestMillis / 2, 0);
-        admission.shutDown(Duration.ZERO, millis(7300));
+        shutDown(millis(7300));
         assertThat(admitsPlain(60_000, nowMillis)).isEqualTo(admitted);
     }
 
     /** Refusing too much is a fault too: what gets its answer by its deadline needs no estimate. */
     @Test
     void aDeadlineBeforeTheEndIsAdmittedWhateverIsKnown() {
-        admission.shutDown(Duration.ZERO, millis(7300));
+        shutDown(millis(7300));
         assertThat(admitsPlain(7300, 6000)).isTrue();
         assertThat(admitsPlain(7301, 6000)).isFalse();
     }
@@ -100,7 +104,7 @@
     @ValueSource(ints = {29_999, 61_000})
     void requestsOfLongAgoDoNotCount(int agoMillis) {
         recordPlain(100, 0);
-        admission.shutDown(Duration.ZERO, millis(agoMillis + 7300L));
+        shutDown(millis(agoMillis + 7300L));
         assertThat(admitsPlain(agoMillis + 60_000L, agoMillis)).isEqualTo(agoMillis < 30_000);
     }
 
@@ -110,7 +114,7 @@
     void aStreamIsJudgedByTheTokensThatItMayGenerate(int maxOutput, boolean admitted) {
         admission.servingTimes().recordFirstEvent(SERVICE, millis(500), millis(0));
         admission.servingTimes().recordPace(SERVICE, 50, millis(2000), millis(0));
-        admission.shutDown(Duration.ZERO, millis(6000));
+        shutDown(millis(6000));
         assertThat(admits(drafts, tokens(maxOutput), TIMEOUT, millis(0))).isEqualTo(admitted);
     }
 
@@ -119,7 +123,7 @@
     void aStreamOfAnyNumberOfTokensIsJudged() {
         admission.servingTimes().recordFirstEvent(SERVICE, millis(500), millis(0));
         admission.servingTimes().recordPace(SERVICE, 1, millis(13_500), millis(0));
-        admission.shutDown(Duration.ZERO, millis(6000));
+        shutDown(millis(6000));
         assertThat(admits(drafts, tokens(Integer.MAX_VALUE), TIMEOUT, millis(0)))
                 .isFalse();
     }
@@ -134,7 +138,7 @@
             recordPlain((long) (1000 * random.nextDouble(shortestSeconds, longestSeconds)), 0);
         }
         long end = graceSeconds * 1000L;
-        admission.shutDown(Duration.ZERO, millis(end));
+        shutDown(millis(end));
         int outlasting = 0;
         int refusedInVain = 0;
         for (int i = 0; i < 1000; i++) {
@@ -148,6 +152,16 @@
         assertThat(refusedInVain).isEqualTo(0);
     }
 
+    /** Streams were refused, and cut, by the time at which requests without a response are answered. */
+    @Test
+    void aStreamMayGoOnUntilTheInstanceStops() {
+        recordStream(50, millis(100), millis(40));
+        admission.shutDown(Duration.ZERO, millis(2600), millis(3000));
+        TokenDemand demand = tokens(50 * SimulatedStream.TOKENS_PER_EVENT);
+        assertThat(admits(drafts, demand, TIMEOUT, millis(375))).isTrue();
+        assertThat(admits(drafts, demand, TIMEOUT, millis(376))).isFalse();
+    }
+
     /** Streams that an instance took long after its shutdown signal were cut: few and short ones had told it what to expect. */
     @ParameterizedTest
     @ValueSource(ints = {3000, 4950, 7000})
@@ -155,7 +169,7 @@
         for (int i = 1; i <= 12; i++) {
             recordStream(10 * i, millis(100), millis(25));
         }
-        admission.shutDown(Duration.ZERO, millis(7300));
+        shutDown(millis(7300));
         assertThat(admits(drafts, tokens(1870), TIMEOUT, millis(nowMillis))).isFalse();
         assertThat(admits(drafts, tokens(1870), millis(7300), millis(nowMillis)))
                 .isTrue();
@@ -175,7 +189,7 @@
             recordStream(served.events(), served.first(), served.gap());
         }
         Duration end = millis(graceMillis - 700L);
-        admission.shutDown(Duration.ZERO, end);
+        shutDown(end);
         int refusedEarly = 0;
         int cutEarly = 0;
         int cutLate = 0;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -253,7 +253,14 @@
         return exchange != null || unsent != null && !unsent.isEmpty();
     }
 
-    /** Answers the request in progress, or the one that is being read, because the instance is about to stop. */
+    /** Answers the request in progress unless its response has begun, or the request that is being read. */
+    void endUnansweredRequest() {
+        if (exchange == null || !exchange.responseStarted()) {
+            endRequest();
+        }
+    }
+
+    /** Ends the request in progress, or answers the one that is being read, because the instance is about to stop. */
     void endRequest() {
         if (exchange != null) {
             exchange.instanceStops();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -140,7 +140,15 @@
         return connections.stream().filter(FrontConnection::hasUnsentResponse).count();
     }
 
-    /** Answers the requests in progress, and those that are being read, because the instance is about to stop. */
+    /**
+     * Answers the requests whose responses have not begun, and those that are being read, because the instance is about to
+     * stop.
+     */
+    public void endUnansweredRequests() {
+        Set.copyOf(connections).forEach(FrontConnection::endUnansweredRequest);
+    }
+
+    /** Answers the requests in progress, or cuts their responses if they have begun, because the instance stops. */
     public void endRequests() {
         Set.copyOf(connections).forEach(FrontConnection::endRequest);
     }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -352,11 +352,16 @@
                 front.stopListening();
                 front.closeIdle();
             }
-            case END_REQUESTS -> endRequests(since);
+            case END_REQUESTS -> {
+                context.admission().close();
+                logEnded(since, front.requestsInProgress());
+                front.endUnansweredRequests();
+            }
             case END -> {
                 stopped = true;
                 try {
-                    endRequests(since);
+                    logEnded(since, front.requestsInProgress());
+                    front.endRequests();
                     log.log(
                             LogEvent.INSTANCE_STOPPED,
                             Field.of("after_ms", since),
@@ -373,12 +378,9 @@
         }
     }
 
-    private void endRequests(Duration since) {
-        context.admission().close();
-        long inProgress = front.requestsInProgress();
-        front.endRequests();
-        if (inProgress > 0) {
-            log.log(LogEvent.REQUESTS_ENDED, Field.of("after_ms", since), Field.of("requests", inProgress));
+    private void logEnded(Duration since, long requests) {
+        if (requests > 0) {
+            log.log(LogEvent.REQUESTS_ENDED, Field.of("after_ms", since), Field.of("requests", requests));
         }
     }
 
@@ -387,7 +389,11 @@
         loop.execute(() -> {
             if (drainingSince == null) {
                 drainingSince = clock.elapsed();
-                context.admission().shutDown(drainingSince, drainingSince.plus(shutdownPlan.endOfRequests()));
+                context.admission()
+                        .shutDown(
+                                drainingSince,
+                                drainingSince.plus(shutdownPlan.endOfRequests()),
+                                drainingSince.plus(shutdownPlan.endOfResponses()));
                 stages.releaseLease();
                 log.log(LogEvent.INSTANCE_DRAINING, Field.of("requests", front.requestsInProgress()));
             }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
@@ -9,7 +9,8 @@
  *
  * <p>Requests keep arriving until the load balancer has noticed that the instance is not ready, and on kept connections
  * after that. So the instance first refuses new requests, and stops when no response is left to send at a later step.
- * Requests that are still in progress shortly before the end of the grace period are answered by the instance itself.
+ * Requests whose responses have not begun shortly before the end of the grace period are answered by the instance itself;
+ * responses that have begun go on until it stops, since they can only be cut.
  */
 final class ShutdownPlan {
 
@@ -30,9 +31,9 @@
         WAIT,
         /** Refuse every new request and close idle connections. */
         REFUSE,
-        /** Refuse every new request and answer those in progress. */
+        /** Refuse every new request and answer those whose responses have not begun. */
         END_REQUESTS,
-        /** Answer requests that are still in progress and stop the process. */
+        /** End everything that is still in progress and stop the process. */
         END
     }
 
@@ -45,9 +46,14 @@
         return new ShutdownPlan(Checks.notNull(grace, "grace"));
     }
 
-    /** Returns the time since the shutdown signal at which requests in progress are answered. */
+    /** Returns the time since the shutdown signal at which requests are answered whose responses have not begun. */
     Duration endOfRequests() {
-        return grace.minus(GRACE_MARGIN).minus(ANSWER_TIME);
+        return endOfResponses().minus(ANSWER_TIME);
+    }
+
+    /** Returns the time since the shutdown signal at which the process stops, whatever is in progress. */
+    Duration endOfResponses() {
+        return grace.minus(GRACE_MARGIN);
     }
 
     /**
@@ -57,7 +63,7 @@
      * @param unsent number of responses that are in progress or were not sent entirely
      */
     Step next(Duration since, long unsent) {
-        if (since.compareTo(grace.minus(GRACE_MARGIN)) > 0) {
+        if (since.compareTo(endOfResponses()) > 0) {
             return Step.END;
         }
         if (!requestsEnded && since.compareTo(endOfRequests()) > 0) {
