Wait in a shutdown for requests that are being read

Cause: the plan counted responses only.

Change: requests that have been read in part keep the process from refusing and stopping until the end of requests, when they get 503.

Evidence: ShutdownPlanTest.waitsForRequestsThatAreBeingReadUntilRequestsEnd; the plan before had no way to be told.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -253,6 +253,11 @@
         return exchange != null || unsent != null && !unsent.isEmpty();
     }
 
+    /** Returns whether a request has been read in part. */
+    boolean isReadingRequest() {
+        return exchange == null && !closing && (head != null || partialHead);
+    }
+
     /** Answers the request in progress unless its response has begun, or the request that is being read. */
     void endUnansweredRequest() {
         if (exchange == null || !exchange.responseStarted()) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -140,6 +140,11 @@
         return connections.stream().filter(FrontConnection::hasUnsentResponse).count();
     }
 
+    /** Returns the number of requests that have been read in part. */
+    public long requestsBeingRead() {
+        return connections.stream().filter(FrontConnection::isReadingRequest).count();
+    }
+
     /**
      * Answers the requests whose responses have not begun, and those that are being read, because the instance is about to
      * stop.
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -346,7 +346,7 @@
 
     private void advanceShutdown(Duration now) {
         Duration since = now.minus(drainingSince);
-        switch (shutdownPlan.next(since, front.unsentResponses())) {
+        switch (shutdownPlan.next(since, front.unsentResponses(), front.requestsBeingRead())) {
             case REFUSE -> {
                 context.admission().close();
                 front.stopListening();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/ShutdownPlan.java
@@ -56,13 +56,19 @@
         return grace.minus(GRACE_MARGIN);
     }
 
+    /** Returns whether the load balancer sends new connections elsewhere by now. */
+    boolean balancerHasNoticed(Duration since) {
+        return since.compareTo(LOAD_BALANCER_DELAY) > 0;
+    }
+
     /**
      * Returns the next action.
      *
      * @param since time since the shutdown signal
      * @param unsent number of responses that are in progress or were not sent entirely
+     * @param beingRead number of requests that have been read in part
      */
-    Step next(Duration since, long unsent) {
+    Step next(Duration since, long unsent, long beingRead) {
         if (since.compareTo(endOfResponses()) > 0) {
             return Step.END;
         }
@@ -73,7 +79,7 @@
         if (requestsEnded) {
             return unsent == 0 ? Step.END : Step.WAIT;
         }
-        if (since.compareTo(LOAD_BALANCER_DELAY) <= 0 || unsent > 0) {
+        if (!balancerHasNoticed(since) || unsent > 0 || beingRead > 0) {
             return Step.WAIT;
         }
         if (!refusing) {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.VirtualClock;
 import org.mangoridge.dispatch.config.CallerLimits;
@@ -82,6 +84,25 @@
         }
     }
 
+    /** A request whose body came slowly, across the shutdown signal, was not waited for. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST /a HTTP/1.1\r\nHost: a",
+                "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab",
+                "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab"
+            })
+    void aRequestThatIsReadInPartIsSeen(String part) throws Exception {
+        FrontServer server = FrontServer.create(group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        connect(server, 1);
+        assertThat(group.next().submit(server::requestsBeingRead).get()).isEqualTo(0);
+        callers.getFirst().getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
+        while (group.next().submit(server::requestsBeingRead).get() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Each event of a stream was a write to the socket, so that one read from a server could cost thousands of them. */
     @Test
     void writesOfOneTurnAreFlushedTogether() throws Exception {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/node/ShutdownPlanTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/node/ShutdownPlanTest.java
@@ -11,7 +11,7 @@
     private final ShutdownPlan plan = ShutdownPlan.of(Duration.ofSeconds(8));
 
     private ShutdownPlan.Step next(int millis, long inProgress) {
-        return plan.next(Duration.ofMillis(millis), inProgress);
+        return plan.next(Duration.ofMillis(millis), inProgress, 0);
     }
 
     @Test
@@ -41,4 +41,12 @@
     void endsBeforeTheGracePeriodExpires() {
         assertThat(next(7600, 3)).isEqualTo(ShutdownPlan.Step.END);
     }
+
+    /** A request whose body came slowly was not seen: the process stopped while it was being read. */
+    @Test
+    void waitsForRequestsThatAreBeingReadUntilRequestsEnd() {
+        assertThat(plan.next(Duration.ofMillis(3300), 0, 1)).isEqualTo(ShutdownPlan.Step.WAIT);
+        assertThat(plan.next(Duration.ofMillis(7350), 0, 1)).isEqualTo(ShutdownPlan.Step.END_REQUESTS);
+        assertThat(plan.next(Duration.ofMillis(7450), 0, 1)).isEqualTo(ShutdownPlan.Step.END);
+    }
 }
