Close idle connections in a shutdown once the balancer sends callers elsewhere

Callers with kept connections went on sending to an instance that was stopping; their streams were refused, which uses up their one retry.

Cause: idle connections stayed open as long as any response was in progress, up to the end of the grace period.

The 0.1 s leave a new connection to its first request.

Evidence: FrontServerTest.connectionsAreClosedOnceTheyHaveBeenIdle; before, the time was not looked at.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -235,9 +235,10 @@
         }
     }
 
-    /** Closes the connection if no request is in progress on it. */
-    void closeIfIdle() {
-        if (exchange == null && head == null && !partialHead && !closing) {
+    /** Closes the connection if it has had no request for {@code idleTime}. */
+    void closeIfIdle(Duration idleTime) {
+        boolean idle = exchange == null && head == null && !partialHead && !closing;
+        if (idle && clock.elapsed().minus(waitingSince).compareTo(idleTime) >= 0) {
             closing = true;
             context.close();
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -123,9 +123,9 @@
         Set.copyOf(connections).forEach(FrontConnection::closeIfTimedOut);
     }
 
-    /** Closes the connections that have no request in progress. */
-    public void closeIdle() {
-        Set.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+    /** Closes the connections that have had no request for {@code idleTime}. */
+    public void closeIdle(Duration idleTime) {
+        Set.copyOf(connections).forEach(connection -> connection.closeIfIdle(idleTime));
     }
 
     /** Returns the number of requests in progress. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -51,6 +51,9 @@
     /** A tick that is delayed by more than this means that the process was paused. */
     private static final Duration MIN_REPORTED_PAUSE = Duration.ofMillis(1500);
 
+    /** Idle time after which a shutdown closes a connection; the first request of a new one may be on its way. */
+    private static final Duration MIN_IDLE_BEFORE_CLOSE = Duration.ofMillis(100);
+
     private static final Duration POOL_SWEEP_INTERVAL = Duration.ofSeconds(1);
     /** Divisor of the process memory that yields the memory for request bodies. */
     private static final int BODY_MEMORY_DIVISOR = 12;
@@ -346,11 +349,14 @@
 
     private void advanceShutdown(Duration now) {
         Duration since = now.minus(drainingSince);
+        if (shutdownPlan.balancerHasNoticed(since)) {
+            // A caller that finds its connection closed opens one elsewhere; a refusal would use up a retry.
+            front.closeIdle(MIN_IDLE_BEFORE_CLOSE);
+        }
         switch (shutdownPlan.next(since, front.unsentResponses(), front.requestsBeingRead())) {
             case REFUSE -> {
                 context.admission().close();
                 front.stopListening();
-                front.closeIdle();
             }
             case END_REQUESTS -> {
                 context.admission().close();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -84,6 +84,19 @@
         }
     }
 
+    /** Kept connections brought requests to an instance that shut down; a new one is left to its first request. */
+    @Test
+    void connectionsAreClosedOnceTheyHaveBeenIdle() throws Exception {
+        FrontServer server = FrontServer.create(group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        connect(server, 1);
+        clock.advance(Duration.ofMillis(100));
+        connect(server, 2);
+        group.next().submit(() -> server.closeIdle(Duration.ofMillis(100))).sync();
+        assertThat(callers.getFirst().getInputStream().read()).isEqualTo(-1);
+        assertThat(group.next().submit(server::connectionCount).get()).isEqualTo(2);
+    }
+
     /** A request whose body came slowly, across the shutdown signal, was not waited for. */
     @ParameterizedTest
     @ValueSource(
