Give instances a memory for buffers, with its log event and its metrics

Cause: the buffers of answers and connections have no common bound; an eviction must be seen in log and metrics.

Change: GatewayContext has a BufferMemory of a quarter of the heap's limit. No buffer is accounted yet.

--- a/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
+++ b/mangoridge-core/src/main/java/org/mangoridge/core/event/LogEvent.java
@@ -23,6 +23,8 @@
     INSTANCE_PAUSED(106, Level.WARNING, "process stood still"),
     /** The instance answered the requests that were still in progress shortly before it stops. */
     REQUESTS_ENDED(107, Level.WARNING, "requests ended by the shutdown"),
+    /** A buffer was given up because all buffers together had reached their limit. */
+    BUFFER_EVICTED(108, Level.WARNING, "buffer evicted"),
     /** An unexpected error, which indicates a defect. */
     INTERNAL_ERROR(199, Level.SEVERE, "internal error"),
     /** A request was refused. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/GatewayContext.java
@@ -18,6 +18,7 @@
 import org.mangoridge.dispatch.limit.ServerRateLimiter;
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.log.GuardedTask;
+import org.mangoridge.gateway.net.BufferMemory;
 
 /**
  * The components that all requests of an instance share; used on its event loop.
@@ -28,6 +29,7 @@
  * @param dialect translates between HTTP messages and requests or responses
  * @param calls makes calls to servers
  * @param limiter keeps the rates that servers announce
+ * @param buffers bounds the memory of all buffers that servers and callers fill
  * @param directory the known servers
  * @param loads the load of each server
  * @param serverHealth the recent results of each server
@@ -47,6 +49,7 @@
         WireDialect dialect,
         ServerCalls calls,
         ServerRateLimiter limiter,
+        BufferMemory buffers,
         ServerDirectory directory,
         LoadTracker loads,
         ServerHealthTracker serverHealth,
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -39,6 +39,7 @@
 import org.mangoridge.gateway.log.EventSink;
 import org.mangoridge.gateway.log.GuardedTask;
 import org.mangoridge.gateway.net.BodyMemory;
+import org.mangoridge.gateway.net.BufferMemory;
 import org.mangoridge.gateway.net.FrontServer;
 import org.mangoridge.gateway.net.FrontState;
 import org.mangoridge.gateway.net.UpstreamPool;
@@ -57,6 +58,8 @@
     private static final Duration POOL_SWEEP_INTERVAL = Duration.ofSeconds(1);
     /** Divisor of the process memory that yields the memory for request bodies. */
     private static final int BODY_MEMORY_DIVISOR = 12;
+    /** Divisor of the heap's limit that yields the memory for buffers that servers and callers fill. */
+    private static final int BUFFER_MEMORY_DIVISOR = 4;
     /** Fraction of the file descriptors that connections of callers may use. */
     private static final double FRONT_DESCRIPTOR_FRACTION = 0.6;
     /** Delay that batches server changes, as a share of the time within which a draining server must be known. */
@@ -198,6 +201,7 @@
                 dialect,
                 calls,
                 limiter,
+                createBuffers(loop, metrics, log),
                 directory,
                 loads,
                 tracks,
@@ -211,6 +215,21 @@
                 log);
     }
 
+    private static BufferMemory createBuffers(EventLoop loop, GatewayMetrics metrics, EventSink log) {
+        long limitBytes = Runtime.getRuntime().maxMemory() / BUFFER_MEMORY_DIVISOR;
+        BufferMemory buffers = BufferMemory.of(limitBytes, loop, (peer, bytes, peerBytes, usedBytes) -> {
+            metrics.count("buffers.evicted");
+            log.log(
+                    LogEvent.BUFFER_EVICTED,
+                    Field.of("peer", peer),
+                    Field.of("bytes", bytes),
+                    Field.of("peer_bytes", peerBytes),
+                    Field.of("used_bytes", usedBytes));
+        });
+        metrics.show("memory.buffers", buffers::usedBytes);
+        return buffers;
+    }
+
     /**
      * Returns an instance that is not started yet.
      *
