Fail a streamed answer whose line has no end

Callers of the entry daemon: an engine that writes one line without end filled the daemon's memory, and all requests on it would end with it.

Cause: the lines of a streamed answer were read by a subscriber without a bound; only whole answers had one (8 MB). Class: a bound on one path and none on its neighbour.

Change: a line of more than 1 MB fails the stream and closes its connection, as an event does at the platform's side.

Why it works: what is kept of a stream is the lines that its reader has not taken, 64 at most, and the line in progress; each is bounded now. Their sum over all calls is not.

--- a/mangoridge-http/src/main/java/org/mangoridge/http/LineQueue.java
+++ b/mangoridge-http/src/main/java/org/mangoridge/http/LineQueue.java
@@ -1,5 +1,6 @@
 package org.mangoridge.http;
 
+import java.io.IOException;
 import java.net.http.HttpResponse.BodySubscriber;
 import java.net.http.HttpResponse.BodySubscribers;
 import java.nio.ByteBuffer;
@@ -21,6 +22,8 @@
 final class LineQueue implements Flow.Subscriber<String> {
 
     private static final int MAX_REQUESTED_LINES = 64;
+    /** Maximum size of a line; engines never send larger ones. */
+    private static final int MAX_LINE_BYTES = 1 << 20;
 
     /** A line, or the end of the stream. */
     private sealed interface Item {}
@@ -104,9 +107,22 @@
         return Result.err(new HttpFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, detail));
     }
 
-    /** Completes the body with the queue at once, so that lines can be read before the answer ends. */
-    private record ImmediateSubscriber(LineQueue queue, BodySubscriber<Void> lines)
-            implements BodySubscriber<LineQueue> {
+    /**
+     * Completes the body with the queue at once, so that lines can be read before the answer ends; fails the stream if a line
+     * is too large.
+     */
+    private static final class ImmediateSubscriber implements BodySubscriber<LineQueue> {
+
+        private final LineQueue queue;
+        private final BodySubscriber<Void> lines;
+        private Flow.Subscription subscription;
+        private long lineBytes;
+        private boolean failed;
+
+        private ImmediateSubscriber(LineQueue queue, BodySubscriber<Void> lines) {
+            this.queue = queue;
+            this.lines = lines;
+        }
 
         @Override
         public CompletionStage<LineQueue> getBody() {
@@ -114,23 +130,50 @@
         }
 
         @Override
-        public void onSubscribe(Flow.Subscription subscription) {
-            lines.onSubscribe(subscription);
+        public void onSubscribe(Flow.Subscription newSubscription) {
+            subscription = newSubscription;
+            lines.onSubscribe(newSubscription);
         }
 
         @Override
         public void onNext(List<ByteBuffer> buffers) {
+            if (failed) {
+                return;
+            }
+            for (ByteBuffer buffer : buffers) {
+                count(buffer);
+            }
+            if (lineBytes > MAX_LINE_BYTES) {
+                failed = true;
+                subscription.cancel();
+                lines.onError(new IOException("line is larger than " + MAX_LINE_BYTES + " bytes"));
+                return;
+            }
             lines.onNext(buffers);
         }
 
+        /** Counts the bytes since the last end of a line. */
+        private void count(ByteBuffer buffer) {
+            int last = buffer.limit() - 1;
+            while (last >= buffer.position() && buffer.get(last) != '\n') {
+                last--;
+            }
+            boolean ends = last >= buffer.position();
+            lineBytes = ends ? buffer.limit() - 1 - last : lineBytes + buffer.remaining();
+        }
+
         @Override
         public void onError(Throwable cause) {
-            lines.onError(cause);
+            if (!failed) {
+                lines.onError(cause);
+            }
         }
 
         @Override
         public void onComplete() {
-            lines.onComplete();
+            if (!failed) {
+                lines.onComplete();
+            }
         }
     }
 }
