Judge a stream whose prompt has been read by its events alone

Callers of a stopping instance were refused although their stream would have ended in time, and a silent server's sound run was broken off (502).

Cause: since a stream was judged again after its prefill by the whole time to its first event, part of which had passed, and the refusal ended the run of a silent server too.

Change: after the prefill only the events count; no second judgement after a reservation. If the run of a silent server is there, it goes on.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -102,6 +102,18 @@
                 .isPresent();
     }
 
+    /** Returns whether a stream that was sent may still begin, now that its prompt has been read. */
+    public boolean admitsFirstEvent(Request request, Duration now) {
+        if (closed || shutdown.isEmpty()) {
+            return !closed;
+        }
+        Duration end = shutdown.get().endOf(request);
+        return request.deadline().compareTo(end) <= 0
+                || times.expectedEvents(request.service(), request.tokens(), now)
+                        .filter(expected -> now.plus(expected).compareTo(end) <= 0)
+                        .isPresent();
+    }
+
     /** Returns what is known of the time of a request, for the log; empty before the shutdown. */
     public Optional<Outlook> outlook(Request request, Duration now) {
         return shutdown.map(known ->
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
@@ -90,17 +90,18 @@
 
     /** Returns the time within which a stream is expected to end; empty if the service had none lately. */
     Optional<Duration> expectedStream(ServiceId service, TokenDemand tokens, Duration now) {
-        Streams known = byService.get(service);
-        if (known == null) {
-            return Optional.empty();
-        }
-        Optional<Duration> first = known.first.quantile(COVERED_SHARE, now);
-        Optional<Duration> perToken = known.perToken.quantile(COVERED_SHARE, now);
-        if (first.isEmpty() || perToken.isEmpty()) {
-            return Optional.empty();
-        }
+        Optional<Duration> first =
+                Optional.ofNullable(byService.get(service)).flatMap(known -> known.first.quantile(COVERED_SHARE, now));
+        Optional<Duration> events = expectedEvents(service, tokens, now);
+        return first.flatMap(value -> events.map(withHeadroom(value)::plus));
+    }
+
+    /** Returns the time from its first event within which a stream is expected to end; empty if nothing is known. */
+    Optional<Duration> expectedEvents(ServiceId service, TokenDemand tokens, Duration now) {
         int output = Math.max(1, tokens.expectedOutput());
-        return Optional.of(withHeadroom(first.get().plus(perToken.get().multipliedBy(output))));
+        return Optional.ofNullable(byService.get(service))
+                .flatMap(known -> known.perToken.quantile(COVERED_SHARE, now))
+                .map(perToken -> withHeadroom(perToken.multipliedBy(output)));
     }
 
     private static Duration withHeadroom(Duration expected) {
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -211,6 +211,18 @@
         assertThat(cutEarly).isAtMost(early * 2 / 67);
     }
 
+    /** A stream was refused when its prompt had been read: the time until then was expected once more. */
+    @ParameterizedTest
+    @CsvSource({"2500, true", "3300, true", "3301, false"})
+    void aStreamWhosePromptHasBeenReadIsJudgedByItsEvents(int nowMillis, boolean admitted) {
+        recordStream(100, millis(2000), millis(40));
+        shutDown(millis(8300));
+        TokenDemand demand = tokens(100 * SimulatedStream.TOKENS_PER_EVENT);
+        assertThat(admits(drafts, demand, LONG_TIMEOUT, millis(700))).isTrue();
+        DrainAdmission.Request request = new DrainAdmission.Request(drafts, SERVICE, demand, millis(700), LONG_TIMEOUT);
+        assertThat(admission.admitsFirstEvent(request, millis(nowMillis))).isEqualTo(admitted);
+    }
+
     /** A stream of a length that varies much, whose caller knows it roughly. */
     private record SimulatedStream(TokenDemand tokens, int events, Duration first, Duration gap) {
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -157,6 +157,16 @@
         return late;
     }
 
+    /** Leaves the request to the run of a silent server, or refuses it, if its stream would outlast the instance. */
+    private boolean endIfTooLateToBegin() {
+        boolean late = !response.started() && scope.isTooLateToBegin();
+        if (late && !goOnWithSilent()) {
+            abandon();
+            scope.refuseDraining();
+        }
+        return late;
+    }
+
     private void instanceStops() {
         if (decode != null) {
             decode.recordOutcome(decode.verdict());
@@ -214,7 +224,7 @@
 
     /** Starts the prefill after the decode server granted the reservation or turned out not to support reservations. */
     void reservationAccepted() {
-        if (refuseIfQuarantined() || refuseIfTooLate()) {
+        if (refuseIfQuarantined()) {
             return;
         }
         if (context.calls().isPaused(prefill.server())) {
@@ -246,7 +256,7 @@
 
     /** Starts the decode after the prefill is complete. */
     void prefillCompleted() {
-        if (refuseIfQuarantined() || refuseIfTooLate()) {
+        if (refuseIfQuarantined() || endIfTooLateToBegin()) {
             return;
         }
         if (context.calls().isPaused(decode.server())) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -199,6 +199,11 @@
         return !context.admission().admits(admissionRequest(), context.now());
     }
 
+    /** Returns whether the instance shuts down before the stream would end if its first event came now. */
+    boolean isTooLateToBegin() {
+        return !context.admission().admitsFirstEvent(admissionRequest(), context.now());
+    }
+
     private DrainAdmission.Request admissionRequest() {
         return new DrainAdmission.Request(route, service, caller.tokens(), started, deadline);
     }
