Judge by whether a response is streamed, and unknown lengths as the longest

A stream without a stated length counted as one token, and an error of the same route told how long streams take.

Cause: the route's mark decided, not whether the response can still be answered once it has begun.

Change: the request says whether its response is streamed, by its service. Streams are judged by streams only. An unknown length is the maximum; if that is unknown too, nothing is known. Pauses of slow callers are not taken for the pace of servers.

Evidence: DrainAdmissionTest.aStreamOfUnknownLengthIsTakenAsTheLongest, red before in two of three cases; the two other new tests need the new argument.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -31,7 +31,7 @@
     private record Shutdown(Duration signalled, Duration end, Duration streamEnd) {
 
         Duration endOf(Request request) {
-            return request.route().streaming() ? streamEnd : end;
+            return request.streamed() ? streamEnd : end;
         }
     }
 
@@ -40,11 +40,18 @@
      *
      * @param route its route
      * @param service its service
+     * @param streamed whether its response is sent as it comes, so that it can only be cut once it has begun
      * @param tokens its token counts; {@link TokenDemand#NONE} if it is no model request
      * @param received when it had been read
      * @param deadline when it gets its final answer at the latest
      */
-    public record Request(Route route, ServiceId service, TokenDemand tokens, Duration received, Duration deadline) {}
+    public record Request(
+            Route route,
+            ServiceId service,
+            boolean streamed,
+            TokenDemand tokens,
+            Duration received,
+            Duration deadline) {}
 
     /**
      * What is known of the time of a request when it is judged during a shutdown.
@@ -94,7 +101,7 @@
             return true;
         }
         Duration reaction = request.received().minus(shutdown.get().signalled());
-        if (request.route().streaming() && reaction.compareTo(BALANCER_DELAY) > 0) {
+        if (request.streamed() && reaction.compareTo(BALANCER_DELAY) > 0) {
             return false;
         }
         return expected(request, now)
@@ -121,7 +128,8 @@
     }
 
     private Optional<Duration> expected(Request request, Duration now) {
-        return times.expectedStream(request.service(), request.tokens(), now)
-                .or(() -> times.expectedPlain(request.route(), now));
+        return request.streamed()
+                ? times.expectedStream(request.service(), request.tokens(), now)
+                : times.expectedPlain(request.route(), now);
     }
 }
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/ServingTimes.java
@@ -98,8 +98,9 @@
 
     /** Returns the time from its first event within which a stream is expected to end; empty if nothing is known. */
     Optional<Duration> expectedEvents(ServiceId service, TokenDemand tokens, Duration now) {
-        int output = Math.max(1, tokens.expectedOutput());
+        int output = tokens.expectedOutput() > 0 ? tokens.expectedOutput() : tokens.maxOutput();
         return Optional.ofNullable(byService.get(service))
+                .filter(known -> output > 0)
                 .flatMap(known -> known.perToken.quantile(COVERED_SHARE, now))
                 .map(perToken -> withHeadroom(perToken.multipliedBy(output)));
     }
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/balance/DrainAdmissionTest.java
@@ -67,7 +67,8 @@
     }
 
     private boolean admits(Route route, TokenDemand tokens, Duration deadline, Duration now) {
-        return admission.admits(new DrainAdmission.Request(route, SERVICE, tokens, now, deadline), now);
+        return admission.admits(
+                new DrainAdmission.Request(route, SERVICE, route.streaming(), tokens, now, deadline), now);
     }
 
     private boolean admitsPlain(long deadlineMillis, long nowMillis) {
@@ -211,6 +212,38 @@
         assertThat(cutEarly).isAtMost(early * 2 / 67);
     }
 
+    /** A stream of a route that is not marked as one was taken late, since plain requests get their answer at the end. */
+    @Test
+    void whetherAResponseIsStreamedDecidesAndNotItsRoute() {
+        recordStream(50, millis(100), millis(20));
+        recordPlain(100, 0);
+        shutDown(millis(7300));
+        DrainAdmission.Request streamed =
+                new DrainAdmission.Request(orders, SERVICE, true, tokens(100), millis(4950), LONG_TIMEOUT);
+        assertThat(admission.admits(streamed, millis(4950))).isFalse();
+        DrainAdmission.Request buffered =
+                new DrainAdmission.Request(orders, SERVICE, false, tokens(100), millis(4950), LONG_TIMEOUT);
+        assertThat(admission.admits(buffered, millis(4950))).isTrue();
+    }
+
+    /** A stream of unknown length counted as one token and was taken whatever time was left. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, false", "1870, 0, false", "1870, 10, true"})
+    void aStreamOfUnknownLengthIsTakenAsTheLongest(int maxOutput, int expectedOutput, boolean admitted) {
+        recordStream(50, millis(100), millis(44));
+        shutDown(millis(7300));
+        TokenDemand demand = new TokenDemand(3000, maxOutput, expectedOutput);
+        assertThat(admits(drafts, demand, LONG_TIMEOUT, millis(2700))).isEqualTo(admitted);
+    }
+
+    /** A plain answer of the same route, such as a short error, told how long streams take. */
+    @Test
+    void plainAnswersDoNotTellHowLongStreamsTake() {
+        admission.servingTimes().recordPlain(drafts, millis(20), millis(0));
+        shutDown(millis(7300));
+        assertThat(admits(drafts, tokens(1870), LONG_TIMEOUT, millis(2700))).isFalse();
+    }
+
     /** A stream was refused when its prompt had been read: the time until then was expected once more. */
     @ParameterizedTest
     @CsvSource({"2500, true", "3300, true", "3301, false"})
@@ -219,7 +252,8 @@
         shutDown(millis(8300));
         TokenDemand demand = tokens(100 * SimulatedStream.TOKENS_PER_EVENT);
         assertThat(admits(drafts, demand, LONG_TIMEOUT, millis(700))).isTrue();
-        DrainAdmission.Request request = new DrainAdmission.Request(drafts, SERVICE, demand, millis(700), LONG_TIMEOUT);
+        DrainAdmission.Request request =
+                new DrainAdmission.Request(drafts, SERVICE, true, demand, millis(700), LONG_TIMEOUT);
         assertThat(admission.admitsFirstEvent(request, millis(nowMillis))).isEqualTo(admitted);
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -75,6 +75,9 @@
     private int paceEvents = 1;
 
     private Duration paceTime;
+    /** Whether reading was paused since then, so that the pace is that of the caller. */
+    private boolean pausedByCaller;
+
     private boolean resuming;
     private boolean released;
 
@@ -142,6 +145,7 @@
     /** Pauses or resumes reading the response, so that a slow caller slows the server down. */
     void setReading(boolean on) {
         reading = on;
+        pausedByCaller |= !on;
         if (call != null && !released) {
             call.setReading(on);
         }
@@ -307,13 +311,15 @@
 
     /** Records the pace of the events since the last time, so that a stream in progress tells it too. */
     private void recordPace() {
-        if (eventCount > paceEvents) {
-            Duration now = context.now();
+        Duration now = context.now();
+        if (eventCount > paceEvents && !pausedByCaller) {
             int tokens = (eventCount - paceEvents) * exchange.spec().maxTokensPerEvent();
-            context.admission().servingTimes().recordPace(exchange.scope().service(), tokens, now.minus(paceTime), now);
-            paceEvents = eventCount;
-            paceTime = now;
+            Duration took = now.minus(paceTime);
+            context.admission().servingTimes().recordPace(exchange.scope().service(), tokens, took, now);
         }
+        paceEvents = eventCount;
+        paceTime = now;
+        pausedByCaller = !reading;
     }
 
     /** Updates the KV cache that is accounted for the request according to the events received so far. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.mangoridge.core.verdict.Refusal;
 import org.mangoridge.core.verdict.RefusalReason;
 import org.mangoridge.core.verdict.Verdict;
+import org.mangoridge.dispatch.config.EngineSpec;
 import org.mangoridge.dispatch.config.GatewayConfig;
 import org.mangoridge.dispatch.config.Route;
 import org.mangoridge.dispatch.config.ServiceSpec;
@@ -180,15 +181,16 @@
 
     private void serve(CallerExchange exchange, Route route, CallerRequest caller) {
         ServiceId service = route.serviceOf(caller.id());
-        RequestScope scope = new RequestScope(context, exchange, route, service, caller, config.version());
+        Optional<EngineSpec> engine = config.service(service).flatMap(ServiceSpec::engine);
+        RequestScope scope =
+                new RequestScope(context, exchange, route, service, engine.isPresent(), caller, config.version());
         if (scope.refuseIfTooLate()) {
             return;
         }
         context.retryBudget().recordRequest(service, context.now());
         context.limiter().recordRequest(service, context.now());
-        Optional<ServiceSpec> spec = config.service(service);
-        if (spec.isPresent() && spec.get().engine().isPresent()) {
-            new ModelExchange(context, scope, spec.get().engine().get(), queue).start();
+        if (engine.isPresent()) {
+            new ModelExchange(context, scope, engine.get(), queue).start();
         } else {
             new PlainExchange(context, scope).start();
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/RequestScope.java
@@ -40,6 +40,7 @@
     private final CallerExchange exchange;
     private final Route route;
     private final ServiceId service;
+    private final boolean streamed;
     private final CallerRequest caller;
     private final RequestIdentity identity;
     private final long configVersion;
@@ -60,12 +61,14 @@
             CallerExchange exchange,
             Route route,
             ServiceId service,
+            boolean streamed,
             CallerRequest caller,
             long configVersion) {
         this.context = context;
         this.exchange = exchange;
         this.route = route;
         this.service = service;
+        this.streamed = streamed;
         this.caller = caller;
         this.identity = RequestIdentity.of(exchange.request(), caller.sharedParts());
         this.configVersion = configVersion;
@@ -205,7 +208,7 @@
     }
 
     private DrainAdmission.Request admissionRequest() {
-        return new DrainAdmission.Request(route, service, caller.tokens(), started, deadline);
+        return new DrainAdmission.Request(route, service, streamed, caller.tokens(), started, deadline);
     }
 
     /** Refuses the request if the instance shuts down before it would end; returns whether it was refused. */
