Count a shutdown from its signal, and what it ends by what it ends

Cause: the time of the signal was taken when the event loop got to it, so that a loop that is late takes streams later than the balancer's delay and ends them later than planned.

Change: the time is taken in the signal's handler. The admission is closed at the end even if a pause has skipped the step before.

Evidence: read only; PlannedStopTest and ShutdownPlanTest pass.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -248,6 +248,10 @@
         return exchange != null;
     }
 
+    boolean hasUnansweredRequest() {
+        return exchange != null && !exchange.responseStarted();
+    }
+
     /** Returns whether a response is in progress or has not been sent entirely. */
     boolean hasUnsentResponse() {
         ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -135,6 +135,13 @@
                 .count();
     }
 
+    /** Returns the number of requests in progress whose responses have not begun. */
+    public long unansweredRequests() {
+        return connections.stream()
+                .filter(FrontConnection::hasUnansweredRequest)
+                .count();
+    }
+
     /** Returns the number of responses that are in progress or were not sent entirely. */
     public long unsentResponses() {
         return connections.stream().filter(FrontConnection::hasUnsentResponse).count();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -379,12 +379,13 @@
             }
             case END_REQUESTS -> {
                 context.admission().close();
-                logEnded(since, front.requestsInProgress());
+                logEnded(since, front.unansweredRequests());
                 front.endUnansweredRequests();
             }
             case END -> {
                 stopped = true;
                 try {
+                    context.admission().close();
                     logEnded(since, front.requestsInProgress());
                     front.endRequests();
                     log.log(
@@ -411,9 +412,10 @@
 
     /** Starts a graceful shutdown: the instance becomes not ready and serves the requests that end before it stops. */
     public void drain() {
+        Duration signalled = clock.elapsed();
         loop.execute(() -> {
             if (drainingSince == null) {
-                drainingSince = clock.elapsed();
+                drainingSince = signalled;
                 context.admission()
                         .shutDown(
                                 drainingSince,
