Bound the memory of all answers in the sum

Callers of sound servers lost their requests when the instance ran out of memory on the answers of a faulty one.

Cause: 8 MB a plain answer, 1 MB an event and 64 KB an error body held for each call and not for their sum; buffers that double held up to twice that.

Change: AnswerBuffer owns the bytes of one answer and their account in BufferMemory: plain answers, error bodies of streams, prefill, reservation, answers of the store and stage orders. EventBuffer has an account for the part of an event that it keeps. An evicted buffer drops its bytes at once, and its call ends in a later task as one whose answer was partly received: unsafe requests get 502 and count as run, safe ones may be retried elsewhere, and the failure counts against the server. A store call that ran out of time gives its memory back.

Why it works: an answer must be given its room before it grows, and the peer that holds most pays. A whole answer leaves the account when it is handed to the connection of its caller, so that it can't be evicted any more.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/DecodeStep.java
@@ -4,8 +4,6 @@
 import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -23,6 +21,7 @@
 import org.mangoridge.dispatch.request.ServerReply;
 import org.mangoridge.dispatch.request.StreamPosition;
 import org.mangoridge.dispatch.request.TokenDemand;
+import org.mangoridge.gateway.net.AnswerBuffer;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -64,7 +63,7 @@
     private HttpResponse head;
     private ServerReply reply;
     private final EventBuffer eventBuffer;
-    private ByteBuf errorBody = Unpooled.EMPTY_BUFFER;
+    private final AnswerBuffer errorBody;
     private Duration started;
     /** When the first event arrived; null before. */
     private Duration firstEventAt;
@@ -87,7 +86,14 @@
         this.silenceTime =
                 QueueDeadlines.callerPatience(exchange.scope().route()).dividedBy(SILENCE_CHECKS);
         TokenDemand tokens = exchange.scope().caller().tokens();
-        this.eventBuffer = EventBuffer.of(StreamAllowance.of(tokens, exchange.spec()));
+        RequestGuard guard = exchange.scope().guard();
+        this.eventBuffer = EventBuffer.of(
+                StreamAllowance.of(tokens, exchange.spec()),
+                context.buffers(),
+                server.address(),
+                guard.guarded(this::onEviction));
+        this.errorBody = AnswerBuffer.open(
+                context.buffers(), server.address(), MAX_ERROR_BODY_BYTES, guard.guarded(this::bodyLost));
         this.load = ServerLoad.ofDecode(tokens, exchange.spec(), 0);
         context.loads().add(server.id(), load);
     }
@@ -167,8 +173,8 @@
             if (silenceTimer != null) {
                 silenceTimer.cancel(false);
             }
-            errorBody.release();
-            errorBody = Unpooled.EMPTY_BUFFER;
+            errorBody.close();
+            eventBuffer.close();
             if (call == null) {
                 context.calls().giveBack(permit);
             }
@@ -253,7 +259,7 @@
     @Override
     public void data(ByteBuf data) {
         if (!isStream()) {
-            bufferErrorBody(data);
+            errorBody.add(data);
             return;
         }
         for (EventBuffer.Event event : eventBuffer.add(data)) {
@@ -361,20 +367,21 @@
         fail(Verdict.RAN, detail);
     }
 
-    private void bufferErrorBody(ByteBuf data) {
-        if (errorBody == Unpooled.EMPTY_BUFFER) {
-            errorBody = Unpooled.buffer(data.readableBytes());
-        }
-        if (errorBody.readableBytes() + data.readableBytes() > MAX_ERROR_BODY_BYTES) {
-            failStream("error response exceeds the maximum size");
-        } else {
-            errorBody.writeBytes(data);
+    private void onEviction() {
+        bodyLost(new CallFailure(
+                AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "the buffers are full and this server fills most"));
+    }
+
+    private void bodyLost(CallFailure failure) {
+        if (!released) {
+            call.cancel();
+            failed(failure);
         }
     }
 
     @Override
     public void completed() {
-        if (released) {
+        if (released || eventBuffer.isEvicted() || errorBody.isEvicted()) {
             return;
         }
         Duration took = context.now().minus(started);
@@ -430,7 +437,7 @@
                 && !PlainExchange.NOT_RUN_STATUSES.contains(reply.status());
         boolean mayRerun = exchange.scope().route().repeat().allowsRerun();
         if (mayForward && !mayRerun) {
-            byte[] body = ByteBufUtil.getBytes(errorBody);
+            byte[] body = errorBody.bytes();
             release();
             exchange.forwardFailure(
                     server, reply.status(), ForwardHeaders.ofResponse(head.headers(), context.dialect()), body);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/EventBuffer.java
@@ -9,7 +9,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.util.ByteProcessor;
+import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.StreamAllowance;
+import org.mangoridge.gateway.net.BufferMemory;
 
 /**
  * Splits the bytes of a server-sent event stream into complete events, so that callers never receive a partial one.
@@ -27,11 +29,16 @@
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    /** Capacity that an empty buffer keeps. */
+    private static final int MAX_EMPTY_CAPACITY_BYTES = 2 << 10;
+
     private final ByteBuf pending;
+    private final BufferMemory.Buffer account;
     private final StreamAllowance allowance;
     private long eventCount;
     private long byteCount;
     private boolean hasExcessEvent;
+    private boolean evicted;
     /** Number of pending bytes that were searched for the end of a line. */
     private int searchedBytes;
     /** Offset in the pending bytes of the line that the search has reached. */
@@ -50,23 +57,36 @@
      */
     record Event(byte[] bytes, OptionalLong id, boolean separator) {}
 
-    private EventBuffer(ByteBuf pending, StreamAllowance allowance) {
+    private EventBuffer(
+            ByteBuf pending, StreamAllowance allowance, BufferMemory memory, HostPort peer, Runnable onEviction) {
         this.pending = pending;
         this.allowance = allowance;
+        this.account = memory.open(peer, this::evict, onEviction);
     }
 
-    /** Returns an empty buffer for a stream that may consist of {@code allowance}. */
-    static EventBuffer of(StreamAllowance allowance) {
-        return over(Unpooled.buffer(512), allowance);
+    /**
+     * Returns an empty buffer for a stream.
+     *
+     * @param allowance what the stream may consist of
+     * @param memory bounds the bytes of all buffers
+     * @param peer the server that sends the stream
+     * @param onEviction is called in a later task of the event loop if the bytes of an incomplete event were dropped
+     */
+    static EventBuffer of(StreamAllowance allowance, BufferMemory memory, HostPort peer, Runnable onEviction) {
+        return over(Unpooled.buffer(512), allowance, memory, peer, onEviction);
     }
 
     /** Returns a buffer that keeps the bytes of an incomplete event in {@code pending}. */
-    static EventBuffer over(ByteBuf pending, StreamAllowance allowance) {
-        return new EventBuffer(pending, allowance);
+    static EventBuffer over(
+            ByteBuf pending, StreamAllowance allowance, BufferMemory memory, HostPort peer, Runnable onEviction) {
+        return new EventBuffer(pending, allowance, memory, peer, onEviction);
     }
 
     /** Appends data and returns the events that are now complete, up to the allowance of the stream. */
     List<Event> add(ByteBuf data) {
+        if (!account.hold(capacityFor(data.readableBytes()))) {
+            return List.of();
+        }
         byteCount += data.readableBytes();
         pending.writeBytes(data, data.readerIndex(), data.readableBytes());
         List<Event> events = new ArrayList<>();
@@ -81,9 +101,37 @@
             events.add(take(separatorBytes, true));
         }
         pending.discardReadBytes();
+        if (!pending.isReadable()) {
+            if (pending.capacity() > MAX_EMPTY_CAPACITY_BYTES) {
+                pending.capacity(MAX_EMPTY_CAPACITY_BYTES);
+            }
+            account.hold(0);
+        }
         return events;
     }
 
+    private int capacityFor(int added) {
+        return added <= pending.writableBytes()
+                ? pending.capacity()
+                : pending.alloc().calculateNewCapacity(pending.writerIndex() + added, pending.maxCapacity());
+    }
+
+    private void evict() {
+        evicted = true;
+        clear();
+        pending.capacity(0);
+    }
+
+    /** Returns whether the bytes of an incomplete event were dropped, so that the stream can't go on. */
+    boolean isEvicted() {
+        return evicted;
+    }
+
+    /** Gives the memory back, when the stream has ended; it must not be added to any more. */
+    void close() {
+        account.close();
+    }
+
     private Event take(int length, boolean separator) {
         byte[] bytes = new byte[length];
         pending.readBytes(bytes);
@@ -96,7 +144,7 @@
 
     /** Returns whether the buffer contains part of an incomplete event. */
     boolean hasPartial() {
-        return pending.isReadable();
+        return evicted || pending.isReadable();
     }
 
     /** Returns which bound the stream exceeds; empty if it keeps them. */
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlainExchange.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -26,6 +25,7 @@
 import org.mangoridge.dispatch.request.RequestPart;
 import org.mangoridge.dispatch.request.RetryDecision;
 import org.mangoridge.dispatch.request.ServerReply;
+import org.mangoridge.gateway.net.AnswerBuffer;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -241,7 +241,7 @@
         private ScheduledFuture<?> silenceTimer;
         private HttpResponse head;
         private ServerReply reply;
-        private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private final AnswerBuffer body;
         private boolean closed;
         private boolean outcomeRecorded;
         private boolean timeoutRecorded;
@@ -250,6 +250,11 @@
             this.server = permit.server();
             this.permit = permit;
             this.started = context.now();
+            this.body = AnswerBuffer.open(
+                    context.buffers(),
+                    server.address(),
+                    MAX_RESPONSE_BYTES,
+                    scope.guard().guarded(this::bodyLost));
         }
 
         void start() {
@@ -340,8 +345,7 @@
                 retryTimer.cancel(false);
             }
             context.loads().subtract(server.id(), ONE_REQUEST);
-            body.release();
-            body = Unpooled.EMPTY_BUFFER;
+            body.close();
             return true;
         }
 
@@ -359,21 +363,20 @@
 
         @Override
         public void data(ByteBuf data) {
-            if (body.readableBytes() + data.readableBytes() > MAX_RESPONSE_BYTES) {
-                call.cancel();
-                failed(new CallFailure(
-                        AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response exceeds the maximum size"));
-                return;
-            }
-            if (body == Unpooled.EMPTY_BUFFER) {
-                body = Unpooled.buffer(data.readableBytes());
-            }
-            body.writeBytes(data);
+            body.add(data);
+        }
+
+        private void bodyLost(CallFailure failure) {
+            call.cancel();
+            failed(failure);
         }
 
         @Override
         public void completed() {
-            ByteBuf whole = body.retain();
+            if (body.isEvicted()) {
+                return;
+            }
+            ByteBuf whole = body.take();
             if (!close() || ended) {
                 whole.release();
                 return;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PrefillStep.java
@@ -5,8 +5,6 @@
 import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
@@ -19,6 +17,7 @@
 import org.mangoridge.dispatch.request.AttemptWork;
 import org.mangoridge.dispatch.request.PrefillResponse;
 import org.mangoridge.dispatch.request.ServerReply;
+import org.mangoridge.gateway.net.AnswerBuffer;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -47,7 +46,7 @@
     private UpstreamCall call;
     private ScheduledFuture<?> timeoutTimer;
     private ServerReply reply;
-    private ByteBuf body = Unpooled.buffer(128);
+    private final AnswerBuffer body;
     private String handle;
     private Duration completedAt;
     private boolean prefilling = true;
@@ -64,6 +63,11 @@
         this.expectedMillis = PrefillTimeEstimator.nominalPrefillMillis(ahead + prompt);
         this.load = new ServerLoad(1, prompt, prompt, 0);
         this.cacheLoad = new ServerLoad(0, 0, prompt, 0);
+        this.body = AnswerBuffer.open(
+                context.buffers(),
+                server.address(),
+                MAX_RESPONSE_BYTES,
+                exchange.scope().guard().guarded(this::bodyLost));
     }
 
     ServerEntry server() {
@@ -120,7 +124,7 @@
         if (call == null) {
             prefilling = false;
             holdsCache = false;
-            body.release();
+            body.close();
             context.calls().giveBack(permit);
         } else if (prefilling) {
             call.cancel();
@@ -146,7 +150,7 @@
         prefilling = false;
         timeoutTimer.cancel(false);
         context.loads().subtract(server.id(), load.minus(cacheLoad));
-        body.release();
+        body.close();
     }
 
     private void releaseCache() {
@@ -169,25 +173,21 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (!prefilling) {
-            return;
-        }
-        if (body.readableBytes() + data.readableBytes() > MAX_RESPONSE_BYTES) {
-            call.cancel();
-            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response exceeds the maximum size"));
-        } else {
-            body.writeBytes(data);
-        }
+        body.add(data);
+    }
+
+    private void bodyLost(CallFailure failure) {
+        call.cancel();
+        failed(failure);
     }
 
     @Override
     public void completed() {
-        if (!prefilling) {
+        if (!prefilling || body.isEvicted()) {
             return;
         }
-        Optional<PrefillResponse> response = reply.status() == 200
-                ? context.dialect().readPrefillResponse(ByteBufUtil.getBytes(body))
-                : Optional.empty();
+        Optional<PrefillResponse> response =
+                reply.status() == 200 ? context.dialect().readPrefillResponse(body.bytes()) : Optional.empty();
         Duration took = context.now().minus(started);
         context.serverHealth().recordAnswer(server, response.isEmpty(), took, context.now());
         finishPrefill();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ReservationStep.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,9 +12,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.mangoridge.core.event.Field;
 import org.mangoridge.core.event.LogEvent;
-import org.mangoridge.core.verdict.AttemptProgress;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.request.ServerReply;
+import org.mangoridge.gateway.net.AnswerBuffer;
 import org.mangoridge.gateway.net.CallFailure;
 import org.mangoridge.gateway.net.CallListener;
 import org.mangoridge.gateway.net.UpstreamCall;
@@ -47,7 +46,7 @@
     private final ModelExchange exchange;
     private final ServerEntry server;
     private final Duration duration;
-    private final ByteBuf body = Unpooled.buffer(64);
+    private final AnswerBuffer body;
     private UpstreamCall call;
     private ScheduledFuture<?> timeoutTimer;
     private ServerReply reply;
@@ -62,6 +61,11 @@
         Duration requested = firstToken.multipliedBy(RESERVATION_TIME_FACTOR).plus(RESERVATION_TIME_MARGIN);
         Duration max = exchange.spec().reservationTtl();
         this.duration = requested.compareTo(max) <= 0 ? requested : max;
+        this.body = AnswerBuffer.open(
+                context.buffers(),
+                server.address(),
+                MAX_RESPONSE_BYTES,
+                exchange.scope().guard().guarded(this::bodyLost));
     }
 
     void start() {
@@ -112,7 +116,7 @@
     private void finishCall() {
         pending = false;
         timeoutTimer.cancel(false);
-        body.release();
+        body.close();
     }
 
     @Override
@@ -127,23 +131,20 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (!pending) {
-            return;
-        }
-        if (body.readableBytes() + data.readableBytes() > MAX_RESPONSE_BYTES) {
-            call.cancel();
-            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response exceeds the maximum size"));
-        } else {
-            body.writeBytes(data);
-        }
+        body.add(data);
+    }
+
+    private void bodyLost(CallFailure failure) {
+        call.cancel();
+        failed(failure);
     }
 
     @Override
     public void completed() {
-        if (!pending) {
+        if (!pending || body.isEvicted()) {
             return;
         }
-        byte[] responseBody = ByteBufUtil.getBytes(body);
+        byte[] responseBody = body.bytes();
         finishCall();
         context.serverHealth().recordReachable(server);
         if (reply.isFromOtherServer(server.id())) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BodyCollector.java
@@ -3,23 +3,20 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.mangoridge.core.Result;
-import org.mangoridge.core.verdict.AttemptProgress;
+import org.mangoridge.core.net.HostPort;
 
 /**
  * Collects a complete response in memory.
  *
- * <p>A response that is too large fails before its end; the caller then cancels the call.
+ * <p>A response that can't be kept fails before its end; the caller then cancels the call.
  */
 public final class BodyCollector implements CallListener {
 
-    private final int maxBytes;
     private final Consumer<Result<Response, CallFailure>> callback;
-    private final ByteBuf body = Unpooled.buffer(1024);
+    private final AnswerBuffer body;
     private int status;
     private HttpHeaders headers;
     private boolean finished;
@@ -33,14 +30,23 @@
      */
     public record Response(int status, HttpHeaders headers, byte[] body) {}
 
-    private BodyCollector(int maxBytes, Consumer<Result<Response, CallFailure>> callback) {
-        this.maxBytes = maxBytes;
+    private BodyCollector(
+            BufferMemory memory, HostPort peer, int maxBytes, Consumer<Result<Response, CallFailure>> callback) {
         this.callback = callback;
+        this.body = AnswerBuffer.open(memory, peer, maxBytes, this::failed);
     }
 
-    /** Returns a collector of bodies of at most {@code maxBytes}; {@code callback} is called exactly once. */
-    public static BodyCollector of(int maxBytes, Consumer<Result<Response, CallFailure>> callback) {
-        return new BodyCollector(maxBytes, callback);
+    /**
+     * Returns a collector of one response.
+     *
+     * @param memory bounds the bodies of all responses
+     * @param peer the server that answers
+     * @param maxBytes the maximum size of the body
+     * @param callback is called exactly once, unless the collector is closed before
+     */
+    public static BodyCollector of(
+            BufferMemory memory, HostPort peer, int maxBytes, Consumer<Result<Response, CallFailure>> callback) {
+        return new BodyCollector(memory, peer, maxBytes, callback);
     }
 
     @Override
@@ -51,24 +57,16 @@
 
     @Override
     public void data(ByteBuf data) {
-        if (finished) {
-            return;
-        }
-        if (body.readableBytes() + data.readableBytes() > maxBytes) {
-            failed(new CallFailure(AttemptProgress.ANSWER_PARTLY_RECEIVED, false, "response body is too large"));
-        } else {
-            body.writeBytes(data);
-        }
+        body.add(data);
     }
 
     @Override
     public void completed() {
-        if (finished) {
+        if (finished || body.isEvicted()) {
             return;
         }
-        finished = true;
-        byte[] bytes = ByteBufUtil.getBytes(body);
-        body.release();
+        byte[] bytes = body.bytes();
+        close();
         callback.accept(Result.ok(new Response(status, headers, bytes)));
     }
 
@@ -77,8 +75,13 @@
         if (finished) {
             return;
         }
-        finished = true;
-        body.release();
+        close();
         callback.accept(Result.err(failure));
     }
+
+    /** Drops what was received, when the call was cancelled; the callback is not called any more. */
+    public void close() {
+        finished = true;
+        body.close();
+    }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BufferMemory.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/BufferMemory.java
@@ -48,13 +48,15 @@
     public final class Buffer {
 
         private final HostPort peer;
-        private final Runnable evict;
+        private final Runnable release;
+        private final Runnable evicted;
         private long bytes;
         private boolean closed;
 
-        private Buffer(HostPort peer, Runnable evict) {
+        private Buffer(HostPort peer, Runnable release, Runnable evicted) {
             this.peer = peer;
-            this.evict = evict;
+            this.release = release;
+            this.evicted = evicted;
         }
 
         /**
@@ -134,7 +136,19 @@
      * @param evict gives the buffer up; called at most once, when its account is closed already
      */
     public Buffer open(HostPort peer, Runnable evict) {
-        return new Buffer(Checks.notNull(peer, "peer"), Checks.notNull(evict, "evict"));
+        return open(peer, () -> {}, evict);
+    }
+
+    /**
+     * Opens the account of a buffer that holds nothing yet and can give its bytes up at once.
+     *
+     * @param peer the peer that fills it
+     * @param release drops the bytes, within the task in which the limit was reached; must call nothing else
+     * @param evicted is called at most once, in a later task, when the bytes are dropped already
+     */
+    public Buffer open(HostPort peer, Runnable release, Runnable evicted) {
+        return new Buffer(
+                Checks.notNull(peer, "peer"), Checks.notNull(release, "release"), Checks.notNull(evicted, "evicted"));
     }
 
     /** Returns the bytes that all buffers hold. */
@@ -151,6 +165,7 @@
                 .orElseThrow();
         listener.evicted(largest.peer, largest.bytes, heaviest.bytes, usedBytes);
         largest.close();
-        loop.execute(largest.evict);
+        largest.release.run();
+        loop.execute(largest.evicted);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonClient.java
@@ -33,6 +33,7 @@
 
     private final EventLoop loop;
     private final RequestSender sender;
+    private final BufferMemory buffers;
     private final ObjectMapper json;
 
     /**
@@ -50,20 +51,21 @@
         }
     }
 
-    private JsonClient(EventLoop loop, RequestSender sender, ObjectMapper json) {
+    private JsonClient(EventLoop loop, RequestSender sender, BufferMemory buffers, ObjectMapper json) {
         this.loop = loop;
         this.sender = sender;
+        this.buffers = buffers;
         this.json = json;
     }
 
-    /** Returns a client that makes its calls by {@code sender}. */
-    public static JsonClient create(EventLoop loop, RequestSender sender) {
-        return new JsonClient(loop, sender, new ObjectMapper());
+    /** Returns a client that makes its calls by {@code sender} and keeps the answers in {@code buffers}. */
+    public static JsonClient create(EventLoop loop, RequestSender sender, BufferMemory buffers) {
+        return new JsonClient(loop, sender, buffers, new ObjectMapper());
     }
 
     /** Returns a client like this one that makes its calls by another sender. */
     public JsonClient withSender(RequestSender other) {
-        return new JsonClient(loop, other, json);
+        return new JsonClient(loop, other, buffers, json);
     }
 
     /** Returns the mapper for bodies. */
@@ -118,16 +120,18 @@
         UpstreamRequest request = new UpstreamRequest(
                 Optional.empty(), address, method, target, headers, body, MAX_IDLE_TIME, connectTimeout);
         UpstreamCall[] call = new UpstreamCall[1];
+        BodyCollector[] collector = new BodyCollector[1];
         ScheduledFuture<?> timer = loop.schedule(
                 () -> {
                     AttemptProgress progress = call[0].progress();
                     call[0].cancel();
+                    collector[0].close();
                     answer.accept(Result.err(
                             new CallFailure(progress, true, "no answer within " + timeout.toMillis() + " ms")));
                 },
                 timeout.toMillis(),
                 TimeUnit.MILLISECONDS);
-        call[0] = sender.call(request, BodyCollector.of(MAX_ANSWER_BYTES, result -> {
+        collector[0] = BodyCollector.of(buffers, address, MAX_ANSWER_BYTES, result -> {
             if (timer.cancel(false)) {
                 if (!result.isOk() && call[0] != null) {
                     call[0].cancel();
@@ -135,6 +139,7 @@
                 answer.accept(result.map(
                         response -> new Answer(response.status(), response.headers(), RawJson.of(response.body()))));
             }
-        }));
+        });
+        call[0] = sender.call(request, collector[0]);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayFeeds.java
@@ -6,6 +6,7 @@
 import org.mangoridge.dispatch.follow.ObjectFeed;
 import org.mangoridge.dispatch.follow.StoreEra;
 import org.mangoridge.gateway.exchange.ServerCalls;
+import org.mangoridge.gateway.net.BufferMemory;
 import org.mangoridge.gateway.net.RequestSender;
 import org.mangoridge.gateway.stage.LeaseStore;
 import org.mangoridge.gateway.stage.StageOrderSender;
@@ -35,7 +36,8 @@
          *
          * @param store sends requests to the store
          * @param servers makes calls to servers
+         * @param buffers bounds the memory of all answers
          */
-        GatewayFeeds create(EventLoop loop, RequestSender store, ServerCalls servers);
+        GatewayFeeds create(EventLoop loop, RequestSender store, ServerCalls servers, BufferMemory buffers);
     }
 }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -58,8 +58,10 @@
     private static final Duration POOL_SWEEP_INTERVAL = Duration.ofSeconds(1);
     /** Divisor of the process memory that yields the memory for request bodies. */
     private static final int BODY_MEMORY_DIVISOR = 12;
-    /** Divisor of the heap's limit that yields the memory for buffers that servers and callers fill. */
-    private static final int BUFFER_MEMORY_DIVISOR = 4;
+    /** The same for buffers that servers and callers fill. */
+    private static final int BUFFER_MEMORY_DIVISOR = 12;
+    /** Least ratio of the heap's limit to that memory. */
+    private static final int BUFFER_MEMORY_HEAP_DIVISOR = 4;
     /** Fraction of the file descriptors that connections of callers may use. */
     private static final double FRONT_DESCRIPTOR_FRACTION = 0.6;
     /** Delay that batches server changes, as a share of the time within which a draining server must be known. */
@@ -136,7 +138,7 @@
         requestMetrics.show("memory.heap_limit", () -> Runtime.getRuntime().maxMemory());
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
         this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
-        GatewayFeeds feeds = feedFactory.create(loop, pool::call, context.calls());
+        GatewayFeeds feeds = feedFactory.create(loop, pool::call, context.calls(), context.buffers());
         this.stages = StageController.create(
                 settings.instance(),
                 settings.handoverDelay(),
@@ -201,7 +203,7 @@
                 dialect,
                 calls,
                 limiter,
-                createBuffers(loop, metrics, log),
+                createBuffers(settings.memoryBytes(), loop, metrics, log),
                 directory,
                 loads,
                 tracks,
@@ -215,8 +217,9 @@
                 log);
     }
 
-    private static BufferMemory createBuffers(EventLoop loop, GatewayMetrics metrics, EventSink log) {
-        long limitBytes = Runtime.getRuntime().maxMemory() / BUFFER_MEMORY_DIVISOR;
+    private static BufferMemory createBuffers(long memoryBytes, EventLoop loop, GatewayMetrics metrics, EventSink log) {
+        long limitBytes = Math.min(
+                Runtime.getRuntime().maxMemory() / BUFFER_MEMORY_HEAP_DIVISOR, memoryBytes / BUFFER_MEMORY_DIVISOR);
         BufferMemory buffers = BufferMemory.of(limitBytes, loop, (peer, bytes, peerBytes, usedBytes) -> {
             metrics.count("buffers.evicted");
             log.log(
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/exchange/EventBufferTest.java
@@ -9,7 +9,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.mangoridge.core.net.HostPort;
 import org.mangoridge.dispatch.balance.StreamAllowance;
+import org.mangoridge.gateway.net.BufferMemory;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -20,7 +22,11 @@
 
     private static final StreamAllowance ALLOWANCE = new StreamAllowance(100, 1 << 19);
 
-    private final EventBuffer buffer = EventBuffer.of(ALLOWANCE);
+    private static final HostPort PEER = new HostPort("127.0.0.1", 1);
+    private static final BufferMemory MEMORY =
+            BufferMemory.of(1 << 30, Runnable::run, (peer, bytes, peerBytes, usedBytes) -> {});
+
+    private final EventBuffer buffer = EventBuffer.of(ALLOWANCE, MEMORY, PEER, () -> {});
 
     private List<EventBuffer.Event> add(String text) {
         return buffer.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -64,7 +70,7 @@
     @Test
     void bytesWithoutEndOfEventAreSearchedOnce() {
         CountingBuffer pending = new CountingBuffer();
-        EventBuffer counted = EventBuffer.over(pending, ALLOWANCE);
+        EventBuffer counted = EventBuffer.over(pending, ALLOWANCE, MEMORY, PEER, () -> {});
         int parts = 4096;
         for (int i = 0; i < parts; i++) {
             assertThat(counted.add(Unpooled.copiedBuffer("x".repeat(PART_BYTES), StandardCharsets.UTF_8)))
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamReuseTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamReuseTest.java
@@ -42,6 +42,7 @@
     private final MetricRegistry registry = new MetricRegistry();
     private final UpstreamPool pool = UpstreamPool.create(
             loop, clock, head -> Optional.ofNullable(head.headers().get("Id")).map(RequestId::of), registry);
+    private final BufferMemory memory = BufferMemory.of(1000, loop, (peer, bytes, peerBytes, usedBytes) -> {});
     private ServerSocket server;
 
     @BeforeEach
@@ -66,7 +67,7 @@
                 Unpooled.EMPTY_BUFFER,
                 Duration.ofHours(1),
                 Duration.ofSeconds(5));
-        pool.call(request, BodyCollector.of(100, answer::complete));
+        pool.call(request, BodyCollector.of(memory, request.address(), 100, answer::complete));
         return answer;
     }
 
