Refuse a request that is being read at the end of a shutdown like any other

Callers whose body was still coming got a bare 503, without their id and a verdict, and no log line told of it; the caller of an order can't tell from it that the order has not run.

Cause: the connection answered by itself, past the handler that refuses everything else by then.

Change: the request is handed to the handler with the part of the body that has come; the instance takes none any more, so that it is refused as not run. The rest of the body is dropped and the connection closed, as before.

Evidence: PlannedStopTest.aRequestThatIsBeingReadIsRefusedAsNotRun, red in both cases before.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -275,7 +275,10 @@
         if (exchange != null) {
             exchange.instanceStops();
         } else if (head != null && !closing) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            // The handler refuses it, as the instance takes no request any more; the rest of its body is not read.
+            keepAlive = false;
+            dispatch();
+            endRequest();
         }
     }
 
