Charge responses that their callers have not read

Callers of an instance lost their connections when its heap was full: a response of up to 8 MB that its caller does not read waits in the outbound buffer of the connection, charged to nothing, and 80 such callers hold 640 MB of a heap of 96 MB.

Cause: bounds stood for each response; the sum had none.

Change: what a connection has not written to the socket (with heads, the overhead of Netty's entries and the spare capacity of bodies) counts in BufferMemory until the write is complete; a write that completes at once costs nothing. The peer is the host of the caller, with port 0, so that many connections of one host count together. At the limit its largest connection is closed: the response ends before its length or its last chunk, or by a reset if it has neither. The handler of a stream is told as of any caller that went.

FrontServerTest with the two calls of hold() taken out, three cases alike: responsesThatAreNotReadAreBoundedInTheSum:205 expected to be in range: [..68157440] but was: 0 With them: 21 tests of FrontServerTest, FrontExchangeTest and FrontResponseTest pass; of two responses of 64 MB at a limit of 96 MB the larger is cut, the other one arrives whole.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -1,15 +1,19 @@
 package org.mangoridge.gateway.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -25,6 +29,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 
 /**
@@ -37,12 +42,20 @@
     /** Number of queued HTTP messages of pipelined requests at which reading stops. */
     private static final int MAX_PIPELINED_MESSAGES = 32;
 
+    private static final HostPort UNKNOWN_CALLER = new HostPort("unknown", 0);
+
     private final Clock clock;
     private final FrontState state;
     private final RequestHandler handler;
     private final BodyMemory memory;
+    private final BufferMemory buffers;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    /** The responses that wait to be written to the socket. */
+    private BufferMemory.Buffer unsent;
+
+    private long unsentBytes;
+    private boolean endsWithConnection;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Duration headArrivedAt;
@@ -53,17 +66,26 @@
     private boolean closing;
     private boolean processingPipelined;
 
-    FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory) {
+    FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory, BufferMemory buffers) {
         this.clock = clock;
         this.state = state;
         this.handler = handler;
         this.memory = memory;
+        this.buffers = buffers;
         this.waitingSince = clock.elapsed();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        unsent = buffers.open(caller(added.channel().remoteAddress()), this::closeIncomplete);
+    }
+
+    /** Returns the host of a caller with port 0, so that its connections count together. */
+    private static HostPort caller(SocketAddress remote) {
+        return remote instanceof InetSocketAddress address
+                ? new HostPort(address.getAddress().getHostAddress(), 0)
+                : UNKNOWN_CALLER;
     }
 
     /** Starts the header timeout when the first bytes of a request arrive, before they are decoded. */
@@ -167,6 +189,44 @@
         handler.handle(exchange);
     }
 
+    /** Writes a part of a response, which is charged until the socket has taken it. */
+    ChannelFuture send(HttpObject part) {
+        ByteBuf content = part instanceof HttpContent holder ? holder.content() : Unpooled.EMPTY_BUFFER;
+        long spareBytes = content.isReadable() ? content.capacity() - content.readableBytes() : 0;
+        long pendingBefore = pendingBytes();
+        ChannelFuture sent = context.write(part);
+        long bytes = pendingBytes() - pendingBefore + spareBytes;
+        context.flush();
+        if (!sent.isDone()) {
+            unsentBytes += bytes;
+            unsent.hold(unsentBytes);
+            sent.addListener(done -> {
+                unsentBytes -= bytes;
+                unsent.hold(unsentBytes);
+            });
+        }
+        return sent;
+    }
+
+    private long pendingBytes() {
+        ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
+    /** Sets whether the response that is sent has no length and no chunks, so that only a reset tells that it is cut. */
+    void setEndsWithConnection(boolean ends) {
+        endsWithConnection = ends;
+    }
+
+    /** Closes the connection so that the caller sees that its response is not complete. */
+    void closeIncomplete() {
+        closing = true;
+        if (endsWithConnection) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        context.close();
+    }
+
     /** Continues with the next request after a response was sent, unless the connection closes. */
     void responseSent(FrontExchange done, boolean close) {
         releaseBody(done.request().body());
@@ -276,8 +336,9 @@
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext unused) {
+    public void channelInactive(ChannelHandlerContext inactive) {
         closing = true;
+        unsent.close();
         releasePipelined();
         releaseBody(body);
         body = Unpooled.EMPTY_BUFFER;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -90,6 +89,7 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         endsWithConnection = !chunksAllowed;
+        connection.setEndsWithConnection(endsWithConnection);
         setConnectionHeader(headers);
         send(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
@@ -141,10 +141,7 @@
             sendUnsent();
             ended = true;
             connection.responseSent(this, true);
-            if (endsWithConnection) {
-                context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-            }
-            context.close();
+            connection.closeIncomplete();
         }
     }
 
@@ -185,7 +182,7 @@
 
     /** Sends a part of the response; a part that can't be written closes the connection, as the response lacks it. */
     private ChannelFuture send(HttpObject part) {
-        return context.writeAndFlush(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        return connection.send(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     private void end(ChannelFuture sent) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -31,6 +31,7 @@
     private final FrontState state;
     private final RequestHandler handler;
     private final BodyMemory memory;
+    private final BufferMemory buffers;
     private final int maxConnections;
     private final Set<FrontConnection> connections = new HashSet<>();
     private Channel listening;
@@ -42,24 +43,33 @@
             FrontState state,
             RequestHandler handler,
             BodyMemory memory,
+            BufferMemory buffers,
             int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.state = state;
         this.handler = handler;
         this.memory = memory;
+        this.buffers = buffers;
         this.maxConnections = maxConnections;
     }
 
-    /** Returns a server that does not listen yet; connections beyond {@code maxConnections} are closed at once. */
+    /**
+     * Returns a server that does not listen yet.
+     *
+     * @param memory bounds the bodies of requests
+     * @param buffers bounds what else callers fill, for example responses that they don't read
+     * @param maxConnections connections beyond this number are closed at once
+     */
     public static FrontServer create(
             EventLoop loop,
             Clock clock,
             FrontState state,
             RequestHandler handler,
             BodyMemory memory,
+            BufferMemory buffers,
             int maxConnections) {
-        return new FrontServer(loop, clock, state, handler, memory, maxConnections);
+        return new FrontServer(loop, clock, state, handler, memory, buffers, maxConnections);
     }
 
     /** Binds to {@code address} and accepts connections. */
@@ -93,7 +103,7 @@
             channel.close();
             return;
         }
-        FrontConnection connection = new FrontConnection(clock, state, handler, memory);
+        FrontConnection connection = new FrontConnection(clock, state, handler, memory, buffers);
         connections.add(connection);
         channel.closeFuture().addListener(closed -> connections.remove(connection));
         HttpDecoderConfig config = new HttpDecoderConfig()
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -135,7 +135,7 @@
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         requestMetrics.show("memory.heap_limit", () -> Runtime.getRuntime().maxMemory());
         int maxConnections = (int) (settings.maxDescriptors() * FRONT_DESCRIPTOR_FRACTION);
-        this.front = FrontServer.create(loop, clock, this, router, memory, maxConnections);
+        this.front = FrontServer.create(loop, clock, this, router, memory, context.buffers(), maxConnections);
         GatewayFeeds feeds = feedFactory.create(loop, pool::call, context.calls());
         this.stages = StageController.create(
                 settings.instance(),
@@ -249,10 +249,22 @@
     public void start() throws InterruptedException {
         front.listen(settings.front()).sync();
         status = FrontServer.create(
-                loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 64);
+                loop,
+                clock,
+                this,
+                new StatusHandler(this, context.metrics()),
+                BodyMemory.of(1 << 16),
+                context.buffers(),
+                64);
         status.listen(settings.ready()).sync();
         metrics = FrontServer.create(
-                loop, clock, this, new StatusHandler(this, context.metrics()), BodyMemory.of(1 << 16), 16);
+                loop,
+                clock,
+                this,
+                new StatusHandler(this, context.metrics()),
+                BodyMemory.of(1 << 16),
+                context.buffers(),
+                16);
         metrics.listen(settings.metrics()).sync();
         loadGossip.start(settings.peer()).sync();
         loop.submit(this::startOnLoop).sync();
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -47,7 +47,7 @@
         EmbeddedChannel channel = new EmbeddedChannel(
                 new HttpResponseEncoder(),
                 new StrictRequestDecoder(new io.netty.handler.codec.http.HttpDecoderConfig()),
-                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000)));
+                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000), TestBuffers.ample()));
         channel.writeInbound(bytes(REQUEST));
         return channel;
     }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontResponseTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontResponseTest.java
@@ -50,8 +50,8 @@
 
     /** Returns all that a caller receives until its connection ends; appends how it ends if not in good order. */
     private String receive(String version, String headerLine, RequestHandler handler) throws Exception {
-        FrontServer server =
-                FrontServer.create(group.next(), VirtualClock.create(), SERVING, handler, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), VirtualClock.create(), SERVING, handler, BodyMemory.of(1000), TestBuffers.ample(), 64);
         server.listen(new HostPort("127.0.0.1", 0)).sync();
         StringBuilder received = new StringBuilder();
         try (Socket socket = new Socket("127.0.0.1", server.port())) {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -7,9 +7,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 
+import com.google.common.collect.Range;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,6 +26,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.VirtualClock;
@@ -70,7 +75,8 @@
     /** Closing several connections in one timeout check must not break that check or the next one. */
     @Test
     void idleConnectionsAreClosedInEveryTimeoutCheck() throws Exception {
-        FrontServer server = FrontServer.create(group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), TestBuffers.ample(), 64);
         server.listen(new HostPort("127.0.0.1", 0)).sync();
         for (int round = 0; round < 2; round++) {
             connect(server, 5);
@@ -87,7 +93,8 @@
     /** Kept connections brought requests to an instance that shut down; a new one is left to its first request. */
     @Test
     void connectionsAreClosedOnceTheyHaveBeenIdle() throws Exception {
-        FrontServer server = FrontServer.create(group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), TestBuffers.ample(), 64);
         server.listen(new HostPort("127.0.0.1", 0)).sync();
         connect(server, 1);
         clock.advance(Duration.ofMillis(100));
@@ -106,7 +113,8 @@
                 "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab"
             })
     void aRequestThatIsReadInPartIsSeen(String part) throws Exception {
-        FrontServer server = FrontServer.create(group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, exchange -> {}, BodyMemory.of(1000), TestBuffers.ample(), 64);
         server.listen(new HostPort("127.0.0.1", 0)).sync();
         connect(server, 1);
         assertThat(group.next().submit(server::requestsBeingRead).get()).isEqualTo(0);
@@ -120,8 +128,8 @@
     @Test
     void writesOfOneTurnAreFlushedTogether() throws Exception {
         CompletableFuture<CallerExchange> received = new CompletableFuture<>();
-        FrontServer server =
-                FrontServer.create(group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), TestBuffers.ample(), 64);
         FlushCounter flushes = new FlushCounter();
         Channel listening = new ServerBootstrap()
                 .group(group)
@@ -149,8 +157,8 @@
     @Test
     void aResponseThatItsCallerHasNotReadIsUnsent() throws Exception {
         CompletableFuture<CallerExchange> received = new CompletableFuture<>();
-        FrontServer server =
-                FrontServer.create(group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), 64);
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), TestBuffers.ample(), 64);
         server.listen(new HostPort("127.0.0.1", 0)).sync();
         try (Socket caller = new Socket("127.0.0.1", server.port())) {
             caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
@@ -170,6 +178,56 @@
         }
     }
 
+    /** Responses that callers didn't read were charged to nobody, so that 80 of 8 MB filled the heap. */
+    @ParameterizedTest
+    @CsvSource({"HTTP/1.1, false", "HTTP/1.1, true", "HTTP/1.0, true"})
+    void responsesThatAreNotReadAreBoundedInTheSum(String version, boolean inParts) throws Exception {
+        BufferMemory buffers = BufferMemory.of(
+                BEYOND_SOCKET_BUFFERS * 3L / 2, group.next(), (peer, bytes, peerBytes, usedBytes) -> {});
+        BlockingQueue<CallerExchange> received = new LinkedBlockingQueue<>();
+        FrontServer server =
+                FrontServer.create(group.next(), clock, SERVING, received::add, BodyMemory.of(1000), buffers, 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        connect(server, 2);
+        int[] sizes = {BEYOND_SOCKET_BUFFERS + 1, BEYOND_SOCKET_BUFFERS};
+        CompletableFuture<Void> told = new CompletableFuture<>();
+        for (int i = 0; i < sizes.length; i++) {
+            callers.get(i)
+                    .getOutputStream()
+                    .write(("GET / " + version + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            CallerExchange exchange = received.take();
+            if (i == 0) {
+                exchange.onDisconnect(() -> told.complete(null));
+            }
+            ByteBuf body = Unpooled.wrappedBuffer(new byte[sizes[i]]);
+            group.next().submit(() -> respond(exchange, body, inParts)).sync();
+        }
+        assertThat(group.next().submit(buffers::usedBytes).get()).isIn(Range.closed(64L << 20, 65L << 20));
+        assertThat(isCut(callers.getFirst(), sizes[0], version)).isTrue();
+        if (inParts) {
+            told.get();
+        }
+        assertThat(callers.getLast().getInputStream().readNBytes(sizes[1])).hasLength(sizes[1]);
+    }
+
+    private static void respond(CallerExchange exchange, ByteBuf body, boolean inParts) {
+        if (inParts) {
+            exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+            exchange.write(body);
+        } else {
+            exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), body);
+        }
+    }
+
+    /** Returns whether a caller sees that its response ended early: before its length or, without one, by a reset. */
+    private static boolean isCut(Socket caller, int length, String version) {
+        try {
+            return caller.getInputStream().readAllBytes().length < length && version.equals("HTTP/1.1");
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     private static void writeEvents(CallerExchange exchange) {
         exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
         for (int event = 0; event < 1000; event++) {
