Let pipelined requests wait as bytes, charged to the caller

A caller that sends requests behind a slow one could hold some 512 KB on each connection: up to 32 decoded messages of 16 KB, and whatever the last read held beyond them, which are many times its bytes if the requests are small (one read of 16 KB holds 911 requests, 1,822 message objects). 2,460 connections may do so; nothing bounded the sum.

Change: the decoder of requests pauses while a request is in progress, and what was read waits as bytes; reading stops at 16 KB. They count in BufferMemory with the unsent responses of the connection, by the capacity of their buffer (at most 32 KB). The decoder goes on, and the connection reads again, when the response has been sent. As before, a request that is answered at once does not nest the next one, and a closing connection drops what it reads.

A part of a head behind an answered request now starts the header timeout at once, not with the next bytes.

FrontExchangeTest without the change: pipelinedRequestsWaitAsBytesThatAreCharged:162 expected: 2 but was: 1824 With it: 23 tests of FrontExchangeTest, FrontServerTest and FrontResponseTest pass, among them 5,461 requests behind a slow one over a socket, all answered (pipelinedRequestsBeyondTheLimitAreAllAnswered; it guards reading on, and the old code should pass it too: not run).

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -4,8 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -35,12 +33,12 @@
 /**
  * One connection of a caller: aggregates requests and dispatches them one after the other.
  *
- * <p>Pipelined requests wait in a short queue until the response before them has been sent.
+ * <p>Pipelined requests wait as bytes until the response before them has been sent.
  */
 final class FrontConnection extends ChannelInboundHandlerAdapter {
 
-    /** Number of queued HTTP messages of pipelined requests at which reading stops. */
-    private static final int MAX_PIPELINED_MESSAGES = 32;
+    /** Number of bytes of pipelined requests at which reading stops. */
+    private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
     private static final HostPort UNKNOWN_CALLER = new HostPort("unknown", 0);
 
@@ -49,10 +47,10 @@
     private final RequestHandler handler;
     private final BodyMemory memory;
     private final BufferMemory buffers;
-    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private final StrictRequestDecoder decoder;
     private ChannelHandlerContext context;
-    /** The responses that wait to be written to the socket. */
-    private BufferMemory.Buffer unsent;
+    /** The bytes that wait to be decoded or to be written to the socket. */
+    private BufferMemory.Buffer held;
 
     private long unsentBytes;
     private boolean endsWithConnection;
@@ -64,21 +62,27 @@
     private boolean keepAlive;
     private FrontExchange exchange;
     private boolean closing;
-    private boolean processingPipelined;
 
-    FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory, BufferMemory buffers) {
+    FrontConnection(
+            Clock clock,
+            FrontState state,
+            RequestHandler handler,
+            BodyMemory memory,
+            BufferMemory buffers,
+            StrictRequestDecoder decoder) {
         this.clock = clock;
         this.state = state;
         this.handler = handler;
         this.memory = memory;
         this.buffers = buffers;
+        this.decoder = decoder;
         this.waitingSince = clock.elapsed();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
-        unsent = buffers.open(caller(added.channel().remoteAddress()), this::closeIncomplete);
+        held = buffers.open(caller(added.channel().remoteAddress()), this::closeIncomplete);
     }
 
     /** Returns the host of a caller with port 0, so that its connections count together. */
@@ -101,16 +105,27 @@
         HttpObject part = (HttpObject) message;
         if (closing) {
             ReferenceCountUtil.release(part);
-        } else if (exchange != null) {
-            pipelined.addLast(part);
-            if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
-                context.channel().config().setAutoRead(false);
-            }
         } else {
             process(part);
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext unused) {
+        updateHeld();
+        updateReading();
+    }
+
+    private void updateHeld() {
+        held.hold(unsentBytes + decoder.heldBytes());
+    }
+
+    private void updateReading() {
+        if (!closing) {
+            context.channel().config().setAutoRead(exchange == null || decoder.waitingBytes() < MAX_PIPELINED_BYTES);
+        }
+    }
+
     private void process(HttpObject part) {
         try {
             if (part.decoderResult().isFailure()) {
@@ -185,6 +200,7 @@
         InboundRequest request = new InboundRequest(head.method(), head.uri(), head.headers(), body, headArrivedAt);
         head = null;
         body = Unpooled.EMPTY_BUFFER;
+        decoder.pause();
         exchange = new FrontExchange(this, context, request, keepAlive, chunksAllowed);
         handler.handle(exchange);
     }
@@ -199,10 +215,10 @@
         context.flush();
         if (!sent.isDone()) {
             unsentBytes += bytes;
-            unsent.hold(unsentBytes);
+            updateHeld();
             sent.addListener(done -> {
                 unsentBytes -= bytes;
-                unsent.hold(unsentBytes);
+                updateHeld();
             });
         }
         return sent;
@@ -232,35 +248,17 @@
         releaseBody(done.request().body());
         exchange = null;
         waitingSince = clock.elapsed();
-        if (close) {
-            closing = true;
-            releasePipelined();
-            return;
-        }
-        processPipelined();
-        if (!closing && pipelined.size() < MAX_PIPELINED_MESSAGES) {
-            context.channel().config().setAutoRead(true);
-        }
-    }
-
-    /** Begins the requests that wait, one after the other; a request that is answered at once does not nest the next one. */
-    private void processPipelined() {
-        if (processingPipelined) {
-            return;
-        }
-        processingPipelined = true;
-        try {
-            while (exchange == null && !closing && !pipelined.isEmpty()) {
-                process(pipelined.pollFirst());
-            }
-        } finally {
-            processingPipelined = false;
-        }
+        closing |= close;
+        // Decodes what waits even if the connection closes: a closing connection drops what it has read.
+        decoder.resume();
+        partialHead |= exchange == null && head == null && decoder.waitingBytes() > 0;
+        updateHeld();
+        updateReading();
     }
 
     /** Returns whether the shutdown closes the connection after this response: no further request has been read. */
     boolean closesAfterResponse() {
-        return state.draining() && pipelined.isEmpty();
+        return state.draining() && decoder.waitingBytes() == 0;
     }
 
     private void reject(HttpResponseStatus status) {
@@ -338,8 +336,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
         closing = true;
-        unsent.close();
-        releasePipelined();
+        held.close();
         releaseBody(body);
         body = Unpooled.EMPTY_BUFFER;
         if (exchange != null) {
@@ -365,11 +362,6 @@
         context.close();
     }
 
-    private void releasePipelined() {
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
-    }
-
     private void releaseBody(ByteBuf buffer) {
         memory.release(buffer.readableBytes());
         buffer.release();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontServer.java
@@ -103,13 +103,14 @@
             channel.close();
             return;
         }
-        FrontConnection connection = new FrontConnection(clock, state, handler, memory, buffers);
-        connections.add(connection);
-        channel.closeFuture().addListener(closed -> connections.remove(connection));
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(state.limits().maxHeaderBytes())
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(config);
+        FrontConnection connection = new FrontConnection(clock, state, handler, memory, buffers, decoder);
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> connections.remove(connection));
         channel.pipeline()
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -118,7 +119,7 @@
                         context.fireChannelRead(message);
                     }
                 })
-                .addLast(new StrictRequestDecoder(config), new HttpResponseEncoder())
+                .addLast(decoder, new HttpResponseEncoder())
                 .addLast(connection);
     }
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 
+import com.google.common.collect.Range;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -29,6 +32,8 @@
     /** The stack size of the threads of an instance. */
     private static final int SMALL_STACK_BYTES = 256 << 10;
 
+    private final MessageCounter messages = new MessageCounter();
+    private final BufferMemory buffers = TestBuffers.ample();
     private boolean draining;
 
     private final FrontState state = new FrontState() {
@@ -44,10 +49,12 @@
     };
 
     private EmbeddedChannel request(RequestHandler handler) {
+        StrictRequestDecoder decoder = new StrictRequestDecoder(new io.netty.handler.codec.http.HttpDecoderConfig());
         EmbeddedChannel channel = new EmbeddedChannel(
                 new HttpResponseEncoder(),
-                new StrictRequestDecoder(new io.netty.handler.codec.http.HttpDecoderConfig()),
-                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000), TestBuffers.ample()));
+                decoder,
+                messages,
+                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000), buffers, decoder));
         channel.writeInbound(bytes(REQUEST));
         return channel;
     }
@@ -143,6 +150,40 @@
         assertThat(sent.split("connection: close", -1)).hasLength(2);
     }
 
+    /** Decoded requests behind a slow one took up to 512 KB of a connection, many times their bytes, charged to nothing. */
+    @Test
+    void pipelinedRequestsWaitAsBytesThatAreCharged() {
+        List<CallerExchange> exchanges = new ArrayList<>();
+        EmbeddedChannel channel = request(exchanges::add);
+        int decoded = messages.count;
+        String small = "GET / HTTP/1.1\r\n\r\n";
+        int requests = ReadLimit.MAX_READ_BYTES / small.length() + 1;
+        channel.writeInbound(bytes(small.repeat(requests)));
+        assertThat(messages.count).isEqualTo(decoded);
+        assertThat(buffers.usedBytes())
+                .isIn(Range.closed((long) ReadLimit.MAX_READ_BYTES, 2L * ReadLimit.MAX_READ_BYTES));
+        assertThat(channel.config().isAutoRead()).isFalse();
+        respond(exchanges.get(0));
+        assertThat(channel.config().isAutoRead()).isTrue();
+        for (int i = 1; i <= requests; i++) {
+            respond(exchanges.get(i));
+        }
+        assertThat(exchanges).hasSize(requests + 1);
+        assertThat(buffers.usedBytes()).isEqualTo(0);
+    }
+
+    @ChannelHandler.Sharable
+    private static final class MessageCounter extends ChannelInboundHandlerAdapter {
+
+        private int count;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            count++;
+            context.fireChannelRead(message);
+        }
+    }
+
     /** Each of the requests behind a slow one was begun within the response before it, until the stack overflowed. */
     @Test
     void manyPipelinedRequestsThatAreAnsweredAtOnceNeedLittleStack() throws InterruptedException {
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -210,6 +211,40 @@
         assertThat(callers.getLast().getInputStream().readNBytes(sizes[1])).hasLength(sizes[1]);
     }
 
+    /** A connection whose reading had stopped behind a slow request must read on once that is answered. */
+    @Test
+    @Timeout(30)
+    void pipelinedRequestsBeyondTheLimitAreAllAnswered() throws Exception {
+        BlockingQueue<CallerExchange> slow = new LinkedBlockingQueue<>();
+        FrontServer server = FrontServer.create(
+                group.next(),
+                clock,
+                SERVING,
+                exchange -> {
+                    if (exchange.request().uri().equals("/slow")) {
+                        slow.add(exchange);
+                    } else {
+                        respond(exchange, Unpooled.copiedBuffer("x", StandardCharsets.US_ASCII), false);
+                    }
+                },
+                BodyMemory.of(1000),
+                TestBuffers.ample(),
+                64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        connect(server, 1);
+        String request = "GET /quick HTTP/1.1\r\n\r\n";
+        int requests = 8 * ReadLimit.MAX_READ_BYTES / request.length();
+        callers.getFirst()
+                .getOutputStream()
+                .write(("GET /slow HTTP/1.1\r\n\r\n" + request.repeat(requests)).getBytes(StandardCharsets.US_ASCII));
+        CallerExchange exchange = slow.take();
+        ByteBuf body = Unpooled.copiedBuffer("x", StandardCharsets.US_ASCII);
+        group.next().submit(() -> respond(exchange, body, false)).sync();
+        int answerBytes = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx".length();
+        int expected = answerBytes * (requests + 1);
+        assertThat(callers.getFirst().getInputStream().readNBytes(expected)).hasLength(expected);
+    }
+
     private static void respond(CallerExchange exchange, ByteBuf body, boolean inParts) {
         if (inParts) {
             exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
