--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -1,15 +1,17 @@
 package org.mangoridge.gateway.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -25,24 +27,33 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.Clock;
 
 /**
  * One connection of a caller: aggregates requests and dispatches them one after the other.
  *
- * <p>Pipelined requests wait in a short queue until the response before them has been sent.
+ * <p>Pipelined requests wait as bytes until the response before them has been sent.
  */
 final class FrontConnection extends ChannelInboundHandlerAdapter {
 
-    /** Number of queued HTTP messages of pipelined requests at which reading stops. */
-    private static final int MAX_PIPELINED_MESSAGES = 32;
+    /** Number of bytes of pipelined requests at which reading stops. */
+    private static final int MAX_PIPELINED_BYTES = 16 << 10;
+
+    private static final HostPort UNKNOWN_CALLER = new HostPort("unknown", 0);
 
     private final Clock clock;
     private final FrontState state;
     private final RequestHandler handler;
     private final BodyMemory memory;
-    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private final BufferMemory buffers;
+    private final StrictRequestDecoder decoder;
     private ChannelHandlerContext context;
+    /** The request's head, and the bytes that wait to be decoded or to be written to the socket. */
+    private BufferMemory.Buffer held;
+
+    private long unsentBytes;
+    private boolean endsWithConnection;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Duration headArrivedAt;
@@ -51,19 +62,34 @@
     private boolean keepAlive;
     private FrontExchange exchange;
     private boolean closing;
-    private boolean processingPipelined;
 
-    FrontConnection(Clock clock, FrontState state, RequestHandler handler, BodyMemory memory) {
+    FrontConnection(
+            Clock clock,
+            FrontState state,
+            RequestHandler handler,
+            BodyMemory memory,
+            BufferMemory buffers,
+            StrictRequestDecoder decoder) {
         this.clock = clock;
         this.state = state;
         this.handler = handler;
         this.memory = memory;
+        this.buffers = buffers;
+        this.decoder = decoder;
         this.waitingSince = clock.elapsed();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        held = buffers.open(caller(added.channel().remoteAddress()), this::closeIncomplete);
+    }
+
+    /** Returns the host of a caller with port 0, so that its connections count together. */
+    private static HostPort caller(SocketAddress remote) {
+        return remote instanceof InetSocketAddress address
+                ? new HostPort(address.getAddress().getHostAddress(), 0)
+                : UNKNOWN_CALLER;
     }
 
     /** Starts the header timeout when the first bytes of a request arrive, before they are decoded. */
@@ -79,16 +105,27 @@
         HttpObject part = (HttpObject) message;
         if (closing) {
             ReferenceCountUtil.release(part);
-        } else if (exchange != null) {
-            pipelined.addLast(part);
-            if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
-                context.channel().config().setAutoRead(false);
-            }
         } else {
             process(part);
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext unused) {
+        updateHeld();
+        updateReading();
+    }
+
+    private void updateHeld() {
+        held.hold(unsentBytes + decoder.heldBytes());
+    }
+
+    private void updateReading() {
+        if (!closing) {
+            context.channel().config().setAutoRead(exchange == null || decoder.waitingBytes() < MAX_PIPELINED_BYTES);
+        }
+    }
+
     private void process(HttpObject part) {
         try {
             if (part.decoderResult().isFailure()) {
@@ -163,44 +200,65 @@
         InboundRequest request = new InboundRequest(head.method(), head.uri(), head.headers(), body, headArrivedAt);
         head = null;
         body = Unpooled.EMPTY_BUFFER;
+        decoder.pause();
         exchange = new FrontExchange(this, context, request, keepAlive, chunksAllowed);
         handler.handle(exchange);
     }
 
+    /** Writes a part of a response, which is charged until the socket has taken it. */
+    ChannelFuture send(HttpObject part) {
+        ByteBuf content = part instanceof HttpContent holder ? holder.content() : Unpooled.EMPTY_BUFFER;
+        long spareBytes = content.isReadable() ? content.capacity() - content.readableBytes() : 0;
+        long pendingBefore = pendingBytes();
+        ChannelFuture sent = context.write(part);
+        long bytes = pendingBytes() - pendingBefore + spareBytes;
+        context.flush();
+        if (!sent.isDone()) {
+            unsentBytes += bytes;
+            updateHeld();
+            sent.addListener(done -> {
+                unsentBytes -= bytes;
+                updateHeld();
+            });
+        }
+        return sent;
+    }
+
+    private long pendingBytes() {
+        ChannelOutboundBuffer pending = context.channel().unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
+    /** Sets whether the response that is sent has no length and no chunks, so that only a reset tells that it is cut. */
+    void setEndsWithConnection(boolean ends) {
+        endsWithConnection = ends;
+    }
+
+    /** Closes the connection so that the caller sees that its response is not complete. */
+    void closeIncomplete() {
+        closing = true;
+        if (endsWithConnection) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        context.close();
+    }
+
     /** Continues with the next request after a response was sent, unless the connection closes. */
     void responseSent(FrontExchange done, boolean close) {
         releaseBody(done.request().body());
         exchange = null;
         waitingSince = clock.elapsed();
-        if (close) {
-            closing = true;
-            releasePipelined();
-            return;
-        }
-        processPipelined();
-        if (!closing && pipelined.size() < MAX_PIPELINED_MESSAGES) {
-            context.channel().config().setAutoRead(true);
-        }
-    }
-
-    /** Begins the requests that wait, one after the other; a request that is answered at once does not nest the next one. */
-    private void processPipelined() {
-        if (processingPipelined) {
-            return;
-        }
-        processingPipelined = true;
-        try {
-            while (exchange == null && !closing && !pipelined.isEmpty()) {
-                process(pipelined.pollFirst());
-            }
-        } finally {
-            processingPipelined = false;
-        }
+        closing |= close;
+        // Decodes what waits even if the connection closes: a closing connection drops what it has read.
+        decoder.resume();
+        partialHead |= exchange == null && head == null && decoder.heldBytes() > 0;
+        updateHeld();
+        updateReading();
     }
 
     /** Returns whether the shutdown closes the connection after this response: no further request has been read. */
     boolean closesAfterResponse() {
-        return state.draining() && pipelined.isEmpty();
+        return state.draining() && decoder.waitingBytes() == 0;
     }
 
     private void reject(HttpResponseStatus status) {
@@ -283,9 +341,9 @@
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext unused) {
+    public void channelInactive(ChannelHandlerContext inactive) {
         closing = true;
-        releasePipelined();
+        held.close();
         releaseBody(body);
         body = Unpooled.EMPTY_BUFFER;
         if (exchange != null) {
@@ -311,11 +369,6 @@
         context.close();
     }
 
-    private void releasePipelined() {
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
-    }
-
     private void releaseBody(ByteBuf buffer) {
         memory.release(buffer.readableBytes());
         buffer.release();
