Refuse store answers with too many parts or an unreadable list

An instance held several times the bytes of one answer of a faulty store node, and took a list that it could not read for an empty one, so that all servers would be dropped.

Cause: RawJson makes an object for each element, without a bound: 2 bytes of an answer become 28 or more, by the fields of the object and its reference in the list. And a list that does not parse is a missing node, like a list that is absent.

Change: an array or object of more than 65,536 parts counts as malformed, found without an object for each; lists have about 500 items.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/RawJson.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/RawJson.java
@@ -30,6 +30,9 @@
             .maxTokenCount(500_000)
             .build();
 
+    /** Bounds the parts of an array or object; lists of the platform have some hundred. */
+    private static final int MAX_PARTS = 1 << 16;
+
     private static final ObjectMapper PARSER = JsonMapper.builder(
                     JsonFactory.builder().streamReadConstraints(LIMITS).build())
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -59,14 +62,19 @@
         return new RawJson(bytes, 0, bytes.length);
     }
 
-    /** Returns whether this is an object whose brackets are balanced; its members may be malformed. */
+    /** Returns whether there is no value. */
+    public boolean isMissing() {
+        return start == end;
+    }
+
+    /** Returns whether this is an object with balanced brackets and not too many members, which may be malformed. */
     public boolean isObject() {
-        return isEnclosed('{', '}');
+        return isEnclosed('{', '}') && !hasTooManyParts();
     }
 
-    /** Returns whether this is an array whose brackets are balanced; its elements may be malformed. */
+    /** Returns whether this is an array with balanced brackets and not too many elements, which may be malformed. */
     public boolean isArray() {
-        return isEnclosed('[', ']');
+        return isEnclosed('[', ']') && !hasTooManyParts();
     }
 
     /** Returns the elements; empty if this is not an array. */
@@ -88,7 +96,7 @@
 
     /** Returns the parsed value; a missing node if it is missing, malformed or beyond the limits of the parser. */
     public JsonNode parse() {
-        if (start == end) {
+        if (isMissing()) {
             return MissingNode.getInstance();
         }
         try {
@@ -117,6 +125,20 @@
         return end - start >= 2 && bytes[start] == open && bytes[end - 1] == close && closing(start) == end - 1;
     }
 
+    private boolean hasTooManyParts() {
+        int commas = 0;
+        for (int i = start + 1; i < end - 1 && commas < MAX_PARTS; i++) {
+            switch (bytes[i]) {
+                case '"', '[', '{' -> i = closing(i);
+                case ',' -> commas++;
+                default -> {
+                    // Part of a number, a literal or a separator.
+                }
+            }
+        }
+        return commas >= MAX_PARTS;
+    }
+
     /** Returns what the commas of this array or object separate. */
     private List<RawJson> parts() {
         List<RawJson> parts = new ArrayList<>();
