Reserve the capacity of bodies, not their bytes

Change: room for the new capacity is reserved before the buffer grows, and given back with the buffer. A body is refused (503, not run) if there is no room, as before; bodies in parts reach the limit with at least half of its bytes.

FrontExchangeTest without the change: theCapacityOfABodyIsReserved:207 expected: 512 but was: 257 With it: 35 tests of FrontExchangeTest, FrontServerTest, FrontResponseTest, UpstreamPoolTest and UpstreamReuseTest pass.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -177,22 +177,32 @@
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 return;
             }
-            if (!memory.tryReserve(data.readableBytes())) {
+            if (!reserve(body.readableBytes() + data.readableBytes())) {
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
-            append(data);
+            body.writeBytes(data);
         }
         if (content instanceof LastHttpContent) {
             dispatch();
         }
     }
 
-    private void append(ByteBuf data) {
+    /** Makes room for the first {@code bytes} of the body; reserves its capacity, of which up to half stays empty. */
+    private boolean reserve(int bytes) {
+        if (bytes <= body.capacity()) {
+            return true;
+        }
+        int capacity = body.capacity() == 0 ? bytes : context.alloc().calculateNewCapacity(bytes, Integer.MAX_VALUE);
+        if (!memory.tryReserve(capacity - body.capacity())) {
+            return false;
+        }
         if (body == Unpooled.EMPTY_BUFFER) {
-            body = context.alloc().heapBuffer(data.readableBytes());
+            body = context.alloc().heapBuffer(capacity);
+        } else {
+            body.capacity(capacity);
         }
-        body.writeBytes(data);
+        return true;
     }
 
     private void dispatch() {
@@ -363,7 +373,7 @@
     }
 
     private void releaseBody(ByteBuf buffer) {
-        memory.release(buffer.readableBytes());
+        memory.release(buffer.capacity());
         buffer.release();
     }
 
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontExchangeTest.java
@@ -36,6 +36,7 @@
     private static final long HEADER_ENTRY_BYTES = 144;
 
     private final MessageCounter messages = new MessageCounter();
+    private final BodyMemory memory = BodyMemory.of(1000);
     private final BufferMemory buffers = TestBuffers.ample();
     private boolean draining;
 
@@ -57,7 +58,7 @@
                 new HttpResponseEncoder(),
                 decoder,
                 messages,
-                new FrontConnection(VirtualClock.create(), state, handler, BodyMemory.of(1000), buffers, decoder));
+                new FrontConnection(VirtualClock.create(), state, handler, memory, buffers, decoder));
         channel.writeInbound(bytes(REQUEST));
         return channel;
     }
@@ -191,6 +192,23 @@
         assertThat(buffers.usedBytes()).isEqualTo(0);
     }
 
+    /** Only the bytes of a body were reserved, half of what its buffer took. */
+    @Test
+    void theCapacityOfABodyIsReserved() {
+        List<CallerExchange> exchanges = new ArrayList<>();
+        EmbeddedChannel channel = request(exchanges::add);
+        respond(exchanges.getFirst());
+        channel.writeInbound(bytes("POST /x HTTP/1.1\r\nContent-Length: 257\r\n\r\n"));
+        for (int i = 0; i < 257; i++) {
+            channel.writeInbound(bytes("x"));
+        }
+        int capacity = exchanges.getLast().request().body().capacity();
+        assertThat(capacity).isEqualTo(512);
+        assertThat(memory.usedBytes()).isEqualTo(capacity);
+        respond(exchanges.getLast());
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
     /** A line without end was charged to nothing. */
     @Test
     void aPartOfALineIsCharged() {
