Charge the heads of servers' answers

Heads of answers, complete or not, were bounded by connection (64 KB) and not in the sum, and charged to nothing; headers of 4 bytes take some 40 times that, 2.5 MB a connection.

Change: the decoder of answers counts the newest head and the bytes that it has not decoded, as that of requests does; they count in BufferMemory for the server while a call is in progress. At the limit the call fails with its progress, and its connection is closed.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 
 /** Decodes responses and knows whether it has bytes of a response that is not complete. */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -15,6 +16,8 @@
     private boolean bodiless;
     private boolean withinResponse;
     private boolean ambiguousLength;
+    private final HeadSize head = new HeadSize();
+    private boolean headComplete;
 
     ResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -35,6 +38,17 @@
         return withinResponse || actualReadableBytes() > 0;
     }
 
+    /** Returns the memory in bytes of what is not decoded and of the newest head. */
+    long heldBytes() {
+        return head.heldBytes() + (actualReadableBytes() > 0 ? internalBuffer().capacity() : 0);
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        head.addHeader();
+        return super.splitHeaderName(line, start, length);
+    }
+
     /** Returns whether a response had a length and chunks both. */
     boolean hadAmbiguousLength() {
         return ambiguousLength;
@@ -53,9 +67,17 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (headComplete && !withinResponse) {
+            head.reset();
+            headComplete = false;
+        }
         int readable = buffer.readableBytes();
         int decoded = out.size();
         super.decode(context, buffer, out);
+        if (!headComplete) {
+            head.addCharacters(readable - buffer.readableBytes());
+            headComplete = out.size() > decoded;
+        }
         if (out.size() > decoded) {
             withinResponse = !(out.get(out.size() - 1) instanceof LastHttpContent);
         } else {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -38,6 +38,9 @@
     private final Clock clock;
     private final UpstreamPool pool;
     private final ResponseDecoder decoder;
+    /** The head of the response and what is not decoded. */
+    private final BufferMemory.Buffer held;
+
     private Channel channel;
     private CallListener listener;
     private AttemptProgress progress = AttemptProgress.BEFORE_CONNECT;
@@ -53,11 +56,14 @@
     private int calls;
     private final CarriedRequests carried = new CarriedRequests();
 
-    UpstreamConnection(HostPort address, Clock clock, UpstreamPool pool, ResponseDecoder decoder) {
+    UpstreamConnection(
+            HostPort address, Clock clock, UpstreamPool pool, ResponseDecoder decoder, BufferMemory buffers) {
         this.address = address;
         this.clock = clock;
         this.pool = pool;
         this.decoder = decoder;
+        this.held = buffers.open(
+                address, () -> fail(new CallFailure(progress, false, "response head takes too much memory")));
     }
 
     HostPort address() {
@@ -164,6 +170,7 @@
     }
 
     void close() {
+        held.close();
         pool.removeIdle(this);
         if (channel != null) {
             channel.close();
@@ -271,6 +278,7 @@
     /** Makes the connection available for further calls only now, when all bytes that were read are decoded. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        held.hold(listener == null ? 0 : decoder.heldBytes());
         if (idleAfterRead) {
             idleAfterRead = false;
             if (isOpen()) {
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamPool.java
@@ -55,17 +55,20 @@
     private final Map<HostPort, Deque<UpstreamConnection>> idle = new HashMap<>();
     private final Function<HttpResponse, Optional<RequestId>> answeredRequest;
     private final AnswerCounters counters;
+    private final BufferMemory buffers;
     private long opened;
 
     private UpstreamPool(
             EventLoop loop,
             Clock clock,
             Function<HttpResponse, Optional<RequestId>> answeredRequest,
-            AnswerCounters counters) {
+            AnswerCounters counters,
+            BufferMemory buffers) {
         this.loop = loop;
         this.clock = clock;
         this.answeredRequest = answeredRequest;
         this.counters = counters;
+        this.buffers = buffers;
     }
 
     /**
@@ -73,13 +76,15 @@
      *
      * @param answeredRequest reads the id of the request that an answer belongs to; empty if it names none
      * @param registry counts the answers and bytes that belong to no call in progress
+     * @param buffers bounds the heads that servers send
      */
     public static UpstreamPool create(
             EventLoop loop,
             Clock clock,
             Function<HttpResponse, Optional<RequestId>> answeredRequest,
-            MetricRegistry registry) {
-        return new UpstreamPool(loop, clock, answeredRequest, AnswerCounters.of(registry));
+            MetricRegistry registry,
+            BufferMemory buffers) {
+        return new UpstreamPool(loop, clock, answeredRequest, AnswerCounters.of(registry), buffers);
     }
 
     /** Sends a request; {@code listener} receives the events of the call unless it is cancelled. */
@@ -223,7 +228,7 @@
     private void connect(UpstreamRequest request, UpstreamCall call) {
         ResponseDecoder decoder = new ResponseDecoder(
                 new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES));
-        UpstreamConnection connection = new UpstreamConnection(request.address(), clock, this, decoder);
+        UpstreamConnection connection = new UpstreamConnection(request.address(), clock, this, decoder, buffers);
         request.body().retain();
         opened++;
         ChannelFuture future = new Bootstrap()
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -117,9 +117,10 @@
         this.group = new NioEventLoopGroup(1);
         this.loop = group.next();
         GatewayMetrics requestMetrics = GatewayMetrics.create();
-        this.pool =
-                UpstreamPool.create(loop, clock, head -> dialect.readReply(head).request(), requestMetrics.registry());
-        this.context = createContext(settings, loop, pool, clock, random, requestMetrics, log, dialect);
+        BufferMemory buffers = createBuffers(loop, requestMetrics, log);
+        this.pool = UpstreamPool.create(
+                loop, clock, head -> dialect.readReply(head).request(), requestMetrics.registry(), buffers);
+        this.context = createContext(settings, loop, pool, buffers, clock, random, requestMetrics, log, dialect);
         LoadTracker loads = context.loads();
         this.router = RequestRouter.create(context);
         this.peers = PeerTable.create(settings.peer(), settings.seeds(), random);
@@ -181,6 +182,7 @@
             GatewaySettings settings,
             EventLoop loop,
             UpstreamPool pool,
+            BufferMemory buffers,
             Clock clock,
             RandomGenerator random,
             GatewayMetrics metrics,
@@ -201,7 +203,7 @@
                 dialect,
                 calls,
                 limiter,
-                createBuffers(loop, metrics, log),
+                buffers,
                 directory,
                 loads,
                 tracks,
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamPoolTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamPoolTest.java
@@ -19,6 +19,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.SystemClock;
 
@@ -97,8 +100,8 @@
     void connectionIsReadOnceInEachTurnOfTheEventLoop() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> writeWithoutEnd(listener));
-            UpstreamPool pool =
-                    UpstreamPool.create(loop, SystemClock.instance(), head -> Optional.empty(), new MetricRegistry());
+            UpstreamPool pool = UpstreamPool.create(
+                    loop, SystemClock.instance(), head -> Optional.empty(), new MetricRegistry(), TestBuffers.ample());
             TurnCounter counter = new TurnCounter();
             UpstreamRequest request = UpstreamRequest.withoutBody(
                     new HostPort("127.0.0.1", listener.getLocalPort()),
@@ -112,4 +115,52 @@
             loop.submit(call::cancel).sync();
         }
     }
+
+    /** Heads of servers, complete or not, were charged to nothing; small headers take many times their bytes. */
+    @ParameterizedTest
+    @Timeout(30)
+    @ValueSource(strings = {"", "\r\n"})
+    void headsAreBoundedInTheSum(String end) throws Exception {
+        int headers = 10_000;
+        BufferMemory buffers = BufferMemory.of(headers * 100L, loop, (peer, bytes, peerBytes, usedBytes) -> {});
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            UpstreamPool pool = UpstreamPool.create(
+                    loop, SystemClock.instance(), head -> Optional.empty(), new MetricRegistry(), buffers);
+            CompletableFuture<CallFailure> failed = new CompletableFuture<>();
+            CallListener caller = new CallListener() {
+                @Override
+                public void head(HttpResponse head) {
+                    // The body is still to come.
+                }
+
+                @Override
+                public void data(ByteBuf data) {
+                    // There is none.
+                }
+
+                @Override
+                public void completed() {
+                    failed.completeExceptionally(new AssertionError("the answer has an end"));
+                }
+
+                @Override
+                public void failed(CallFailure failure) {
+                    failed.complete(failure);
+                }
+            };
+            UpstreamRequest request = UpstreamRequest.withoutBody(
+                    new HostPort("127.0.0.1", listener.getLocalPort()),
+                    HttpMethod.GET,
+                    "/",
+                    new DefaultHttpHeaders(),
+                    Duration.ofSeconds(5));
+            loop.submit(() -> pool.call(request, caller)).sync();
+            try (Socket server = listener.accept()) {
+                String head = "HTTP/1.1 200 OK\r\n" + "a:\r\n".repeat(headers) + end;
+                server.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+                assertThat(failed.get().detail()).contains("memory");
+                assertThat(loop.submit(buffers::usedBytes).get()).isEqualTo(0);
+            }
+        }
+    }
 }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamReuseTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/UpstreamReuseTest.java
@@ -41,7 +41,11 @@
     private final VirtualClock clock = VirtualClock.create();
     private final MetricRegistry registry = new MetricRegistry();
     private final UpstreamPool pool = UpstreamPool.create(
-            loop, clock, head -> Optional.ofNullable(head.headers().get("Id")).map(RequestId::of), registry);
+            loop,
+            clock,
+            head -> Optional.ofNullable(head.headers().get("Id")).map(RequestId::of),
+            registry,
+            TestBuffers.ample());
     private ServerSocket server;
 
     @BeforeEach
