Reset a response without framing whatever closes its connection early

Callers of HTTP/1.0 that read slowly got part of a stream that had ended at the server, then a regular end of the connection, when the instance stopped: it looked whole.

Cause: only an aborted exchange closed its connection with a reset; one that had handed all over to the socket's buffer, the end of the event loop and the end of the process did not.

Change: the socket is set to reset when it is closed from the beginning of such a response until its last byte is written.

Evidence: FrontServerTest.aResponseWithoutFramingThatIsCutIsReset, red before for a finished response: no exception, the caller saw an end. One that its caller reads still ends regularly.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontConnection.java
@@ -40,6 +40,11 @@
     /** Number of bytes of pipelined requests at which reading stops. */
     private static final int MAX_PIPELINED_BYTES = 16 << 10;
 
+    /** Value of {@code SO_LINGER} with which a socket is reset when it is closed. */
+    private static final int RESET_ON_CLOSE = 0;
+    /** Value of {@code SO_LINGER} with which a closed socket sends what it has taken. */
+    private static final int NO_LINGER = -1;
+
     private static final HostPort UNKNOWN_CALLER = new HostPort("unknown", 0);
 
     private final Clock clock;
@@ -53,7 +58,6 @@
     private BufferMemory.Buffer held;
 
     private long unsentBytes;
-    private boolean endsWithConnection;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Duration headArrivedAt;
@@ -239,17 +243,17 @@
         return pending == null ? 0 : pending.totalPendingWriteBytes();
     }
 
-    /** Sets whether the response that is sent has no length and no chunks, so that only a reset tells that it is cut. */
+    /**
+     * Sets whether the response that is sent has no length and no chunks, so that only a reset tells that it is cut: by any
+     * close, or by the end of the process.
+     */
     void setEndsWithConnection(boolean ends) {
-        endsWithConnection = ends;
+        context.channel().config().setOption(ChannelOption.SO_LINGER, ends ? RESET_ON_CLOSE : NO_LINGER);
     }
 
     /** Closes the connection so that the caller sees that its response is not complete. */
     void closeIncomplete() {
         closing = true;
-        if (endsWithConnection) {
-            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        }
         context.close();
     }
 
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/FrontExchange.java
@@ -89,7 +89,9 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         endsWithConnection = !chunksAllowed;
-        connection.setEndsWithConnection(endsWithConnection);
+        if (endsWithConnection) {
+            connection.setEndsWithConnection(true);
+        }
         setConnectionHeader(headers);
         send(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
@@ -187,6 +189,13 @@
 
     private void end(ChannelFuture sent) {
         ended = true;
+        if (endsWithConnection) {
+            sent.addListener(done -> {
+                if (done.isSuccess()) {
+                    connection.setEndsWithConnection(false);
+                }
+            });
+        }
         if (closeAfter) {
             sent.addListener(ChannelFutureListener.CLOSE);
         }
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/FrontServerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.Range;
 import io.netty.bootstrap.ServerBootstrap;
@@ -34,6 +35,7 @@
 import org.mangoridge.dispatch.config.CallerLimits;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class FrontServerTest {
 
@@ -91,6 +93,54 @@
         }
     }
 
+    /** A response without length and chunks whose caller had not read it looked complete when the instance stopped. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aResponseWithoutFramingThatIsCutIsReset(boolean finished) throws Exception {
+        NioEventLoopGroup stopped = new NioEventLoopGroup(1);
+        CompletableFuture<CallerExchange> received = new CompletableFuture<>();
+        FrontServer server = FrontServer.create(
+                stopped.next(), clock, SERVING, received::complete, BodyMemory.of(1000), TestBuffers.ample(), 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        try (Socket caller = new Socket("127.0.0.1", server.port())) {
+            caller.getOutputStream().write("GET / HTTP/1.0\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            CallerExchange exchange = received.get();
+            stopped.next()
+                    .submit(() -> {
+                        exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                        exchange.write(Unpooled.wrappedBuffer(new byte[BEYOND_SOCKET_BUFFERS]));
+                        if (finished) {
+                            exchange.finish();
+                        }
+                    })
+                    .sync();
+            stopped.next().submit(server::endRequests).sync();
+            stopped.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
+            assertThrows(IOException.class, () -> caller.getInputStream().readAllBytes());
+        }
+    }
+
+    /** A response without length and chunks that its caller reads is whole and ends as such. */
+    @Test
+    void aResponseWithoutFramingThatIsReadEndsRegularly() throws Exception {
+        CompletableFuture<CallerExchange> received = new CompletableFuture<>();
+        FrontServer server = FrontServer.create(
+                group.next(), clock, SERVING, received::complete, BodyMemory.of(1000), TestBuffers.ample(), 64);
+        server.listen(new HostPort("127.0.0.1", 0)).sync();
+        try (Socket caller = new Socket("127.0.0.1", server.port())) {
+            caller.getOutputStream().write("GET / HTTP/1.0\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            CallerExchange exchange = received.get();
+            group.next()
+                    .submit(() -> {
+                        exchange.startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                        exchange.write(Unpooled.wrappedBuffer(new byte[BEYOND_SOCKET_BUFFERS]));
+                        exchange.finish();
+                    })
+                    .sync();
+            assertThat(caller.getInputStream().readAllBytes().length).isAtLeast(BEYOND_SOCKET_BUFFERS);
+        }
+    }
+
     /** Kept connections brought requests to an instance that shut down; a new one is left to its first request. */
     @Test
     void connectionsAreClosedOnceTheyHaveBeenIdle() throws Exception {
