Read-through: a local name, and two lines of Javadoc

Cause: reading the change as a newcomer: "reaction" is the time since the signal; the quantile's sentence had it the wrong way round; one line was too long.

Change: these three; no logic.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/DrainAdmission.java
@@ -100,8 +100,8 @@
         if (request.deadline().compareTo(end) <= 0) {
             return true;
         }
-        Duration reaction = request.received().minus(shutdown.get().signalled());
-        if (request.streamed() && reaction.compareTo(BALANCER_DELAY) > 0) {
+        Duration sinceSignal = request.received().minus(shutdown.get().signalled());
+        if (request.streamed() && sinceSignal.compareTo(BALANCER_DELAY) > 0) {
             return false;
         }
         return expected(request, now)
--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/RecentSample.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/balance/RecentSample.java
@@ -42,7 +42,7 @@
         return entries.isEmpty();
     }
 
-    /** Returns the least duration that is not exceeded by {@code share} of the sample; empty if the sample is. */
+    /** Returns the least duration that {@code share} of the sample does not exceed; empty if the sample is. */
     Optional<Duration> quantile(double share, Duration now) {
         if (isEmpty(now)) {
             return Optional.empty();
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -29,8 +29,9 @@
  * <p>An answer that names another request than the call is dropped. One that names none fails a call that has an id,
  * unless it is the first on the connection: otherwise it may be a copy of the answer to an earlier call.
  *
- * <p>It never carries two attempts of one request, whose answers bear the same id. It is reused only if the response was complete, belonged to the request and left no data behind. Data that arrives
- * while no call is in progress closes the connection.
+ * <p>It never carries two attempts of one request, whose answers bear the same id. It is reused only if the response was
+ * complete, belonged to the request and left no data behind. Data that arrives while no call is in progress closes the
+ * connection.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
