--- a/review/rig/Server.java
+++ b/review/rig/Server.java
@@ -94,7 +94,8 @@
             } catch (InterruptedException e) {
                 return;
             }
-            register();
+            // A report that changes no more than "seq" does not change the entry.
+            seq++;
         }
     }
 
@@ -118,6 +119,12 @@
         register();
     }
 
+    /** Removes the entry; returns when the store has confirmed it. The server serves on. */
+    public synchronized void unlist() {
+        ended = true;
+        store.remove("servers", id);
+    }
+
     /** Ends the server: closes all connections and removes its entry. */
     public synchronized void end() {
         ended = true;
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -27,6 +27,22 @@
     private final List<Event> history = new ArrayList<>();
     private long revision = 100;
     private final ServerSocket listening;
+    /** The connections on which a watch waits now. */
+    private final java.util.Set<Socket> watching = java.util.concurrent.ConcurrentHashMap.newKeySet();
+
+    /** Cuts off the watches that wait; returns how many there were. */
+    public int cutWatches() {
+        int cut = 0;
+        for (Socket socket : watching) {
+            try {
+                socket.close();
+                cut++;
+            } catch (IOException e) {
+                // Closed.
+            }
+        }
+        return cut;
+    }
 
     public Store() throws IOException {
         listening = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
@@ -54,14 +70,14 @@
             InputStream in = Http.buffered(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             for (Http.Message request = Http.request(in); request != null; request = Http.request(in)) {
-                answer(request, out);
+                answer(request, out, socket);
             }
         } catch (IOException | InterruptedException e) {
             // The caller has gone.
         }
     }
 
-    private void answer(Http.Message request, OutputStream out) throws IOException, InterruptedException {
+    private void answer(Http.Message request, OutputStream out, Socket socket) throws IOException, InterruptedException {
         String[] target = request.path().split("\\?", 2);
         String[] path = target[0].split("/");
         Map<String, String> query = new HashMap<>();
@@ -76,7 +92,12 @@
         int[] status = {200};
         JsonNode body;
         if (request.method().equals("GET") && query.containsKey("watch")) {
-            body = watch(kind, Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("wait_ms", "0")));
+            watching.add(socket);
+            try {
+                body = watch(kind, Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("wait_ms", "0")));
+            } finally {
+                watching.remove(socket);
+            }
         } else {
             body = call(request, kind, name, status);
         }
