--- a/review/8/SilentWatches.java
+++ b/review/8/LostAnswers.java
@@ -12,22 +12,22 @@
 import rig.Http;
 import rig.Node;
 import rig.PlainServer;
-import rig.Proxy;
 import rig.Record;
 import rig.Store;
 
 /**
- * The open connections of all instances to the store go silent. After {@code contact_ms}, a server leaves and a route moves
- * to another service: does the server still get requests later than {@code drain_ms} after the store has confirmed that, and
- * does the old service still get those of the route later than {@code config_deadline_ms}?
+ * The store loses answers of watches for a second, and is sound from then on. After {@code contact_ms}, a server leaves and a
+ * route moves to another service: does the server still get requests later than {@code drain_ms} after the store has
+ * confirmed that, and does the old service still get those of the route later than {@code config_deadline_ms}?
  */
-public final class SilentWatches {
+public final class LostAnswers {
 
     private static final int CONTACT_MILLIS = 3000;
     private static final int DRAIN_MILLIS = 2000;
     private static final int CONFIG_DEADLINE_MILLIS = 2000;
     private static final int SERVES_ON_MILLIS = 3000;
     private static final int CLIENTS = 12;
+    private static final int SERVERS = 12;
     private static final String[] IPS = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
 
     private static volatile long leftAt = -1;
@@ -38,13 +38,12 @@
         Path folder = Files.createTempDirectory("review-8-");
         Record record = new Record(Path.of("review/8/record.txt"));
         Store store = new Store();
-        Proxy proxy = new Proxy(store.address());
         Map<String, Long> sentAt = new ConcurrentHashMap<>();
         Map<String, Long> lateAtServer = new ConcurrentHashMap<>();
         Map<String, Long> lateAtService = new ConcurrentHashMap<>();
         Map<String, String> running = new ConcurrentHashMap<>();
         List<PlainServer> servers = new ArrayList<>();
-        for (int i = 1; i <= 4; i++) {
+        for (int i = 1; i <= SERVERS; i++) {
             String service = i <= 3 ? "desk" : "till";
             servers.add(new PlainServer(record, store, "i-" + service + i, service, "attica-a", 6) {
                 @Override
@@ -63,7 +62,7 @@
                             && sentAfter > CONFIG_DEADLINE_MILLIS) {
                         lateAtService.put(requestId, sentAfter);
                         record.add("CONFIG: " + requestId + ", sent " + sentAfter
-                                + " ms after the confirmation of version 8, is run by the old service");
+                                + " ms after the confirmation of version 10, is run by the old service");
                     }
                 }
 
@@ -79,7 +78,7 @@
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < IPS.length; i++) {
             nodes.add(new Node(folder, "front-attica-a-" + (i + 1), IPS[i], "attica-a", ports, List.of(IPS),
-                    proxy.address(), Node.bounds()));
+                    store.address(), Node.bounds()));
         }
         int exit = 2;
         try {
@@ -110,17 +109,25 @@
                 }));
             }
             Thread.sleep(3500);
-            if (trouble) {
-                record.add(proxy.silence() + " open connections to the store go silent");
-            }
+            // Changes as on any day, of which the instances learn.
+            store.put("config", "main", config(8, "desk"));
+            servers.add(new PlainServer(record, store, "i-till-new1", "till", "attica-a", 6));
+            Thread.sleep(1000);
+            store.loseAnswers(trouble);
+            store.put("config", "main", config(9, "desk"));
+            servers.add(new PlainServer(record, store, "i-till-new2", "till", "attica-a", 6));
+            record.add("version 9, and a server is added" + (trouble ? "; the store loses answers" : ""));
+            Thread.sleep(1000);
+            record.add("answers lost: " + store.lost() + "; the store is sound again");
+            store.loseAnswers(false);
             // All instances are in touch again.
             Thread.sleep(CONTACT_MILLIS + 500);
             servers.get(0).drain();
             leftAt = record.now();
             record.add("the store has confirmed that i-desk1 is draining");
-            store.put("config", "main", config(8, "till"));
+            store.put("config", "main", config(10, "till"));
             movedAt = record.now();
-            record.add("the store has confirmed version 8, by which /moved/ goes to till");
+            record.add("the store has confirmed version 10, by which /moved/ goes to till");
             Thread.sleep(DRAIN_MILLIS + SERVES_ON_MILLIS);
             servers.get(0).end();
             record.add("i-desk1 has exited; it was at work on "
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 . bin/find-jdk || exit 2
 exec timeout -k 5 110 "$JAVA_HOME/bin/java" -Xmx256m -cp target/review-2/8:target/review-2/rig:target/mangoridge.jar \
-  SilentWatches
+  LostAnswers
--- a/review/rig/Server.java
+++ b/review/rig/Server.java
@@ -96,6 +96,7 @@
             }
             // A report that changes no more than "seq" does not change the entry.
             seq++;
+            store.countCall();
         }
     }
 
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -30,6 +30,32 @@
     /** The connections on which a watch waits now. */
     private final java.util.Set<Socket> watching = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
+    private volatile boolean losing;
+    private int calls;
+    private int lost;
+
+    /**
+     * From now on, or no longer, loses the answers of watches that have something to tell. A connection on which an answer
+     * is lost stays open and returns nothing further.
+     */
+    public synchronized void loseAnswers(boolean on) {
+        losing = on;
+        if (on) {
+            calls = 0;
+            lost = 0;
+        }
+    }
+
+    /** Returns how many answers were lost since the store began to lose them, and of how many. */
+    public synchronized String lost() {
+        return lost + " of " + calls;
+    }
+
+    /** Counts a call of a server, which reports its status. */
+    public synchronized void countCall() {
+        calls++;
+    }
+
     /** Cuts off the watches that wait; returns how many there were. */
     public int cutWatches() {
         int cut = 0;
@@ -69,15 +95,17 @@
         try (socket) {
             InputStream in = Http.buffered(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
+            boolean mute = false;
             for (Http.Message request = Http.request(in); request != null; request = Http.request(in)) {
-                answer(request, out, socket);
+                mute = mute || !answer(request, out, socket);
             }
         } catch (IOException | InterruptedException e) {
             // The caller has gone.
         }
     }
 
-    private void answer(Http.Message request, OutputStream out, Socket socket) throws IOException, InterruptedException {
+    /** Answers a call; returns false if the answer is lost. */
+    private boolean answer(Http.Message request, OutputStream out, Socket socket) throws IOException, InterruptedException {
         String[] target = request.path().split("\\?", 2);
         String[] path = target[0].split("/");
         Map<String, String> query = new HashMap<>();
@@ -101,7 +129,15 @@
         } else {
             body = call(request, kind, name, status);
         }
+        synchronized (this) {
+            calls++;
+            if (losing && !body.path("events").isEmpty()) {
+                lost++;
+                return false;
+            }
+        }
         Http.respond(out, status[0], List.of("Content-Type: application/json"), JSON.writeValueAsBytes(body));
+        return true;
     }
 
     private synchronized JsonNode call(Http.Message request, String kind, String name, int[] status)
