--- a/review/8/CutWatches.java
+++ b/review/8/CutWatches.java
@@ -140,14 +140,13 @@
     /** Sends an order, which must not be repeated; returns whether it was answered with success. */
     private static boolean order(Node node, Record record, String id) {
         try (Socket socket = new Socket(node.ip, node.front)) {
+            record.add("client sends " + id);
             socket.getOutputStream().write(("POST /order/1 HTTP/1.1\r\nHost: museum.example\r\nRequest-Id: " + id
                     + "\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{}").getBytes());
             Http.Message answer = Http.response(socket.getInputStream());
+            record.add("client of " + id + " gets " + (answer == null ? "no answer" : answer.status()));
             boolean served = answer != null && answer.status() == 200 && answer.whole
                     && answer.text().equals("answer to " + id);
-            if (!served) {
-                record.add("client of " + id + " gets " + (answer == null ? "no answer" : answer.status()));
-            }
             return served;
         } catch (IOException e) {
             record.add("client of " + id + " fails: " + e);
--- a/review/rig/Node.java
+++ b/review/rig/Node.java
@@ -93,27 +93,32 @@
                 "thaw_slack_ms = 300");
     }
 
-    /** Returns ports that are free on all loopback addresses now. */
+    /** Returns ports that are free at the loopback addresses of three instances now. */
     public static int[] freePorts() throws IOException {
         java.util.Random random = new java.util.Random();
         while (true) {
             int base = 20000 + random.nextInt(10000);
             int[] ports = {base, base + 1, base + 2, base + 3, base + 4};
-            boolean free = true;
-            for (int port : ports) {
-                try (java.net.ServerSocket tcp = new java.net.ServerSocket(port);
-                        java.net.DatagramSocket udp = new java.net.DatagramSocket(port)) {
-                    // Free.
-                } catch (IOException e) {
-                    free = false;
-                }
-            }
-            if (free) {
+            if (Arrays.stream(ports).allMatch(Node::isFree)) {
                 return ports;
             }
         }
     }
 
+    private static boolean isFree(int port) {
+        for (String ip : List.of("127.0.0.1", "127.0.0.2", "127.0.0.3")) {
+            try (java.net.ServerSocket tcp =
+                            new java.net.ServerSocket(port, 1, java.net.InetAddress.getByName(ip));
+                    java.net.DatagramSocket udp =
+                            new java.net.DatagramSocket(port, java.net.InetAddress.getByName(ip))) {
+                // Free.
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     public void start() throws IOException {
         String command = Files.readAllLines(Path.of("deploy/system.toml")).stream()
                 .filter(line -> line.startsWith("run = "))
