Bound how long a server is used whose entry is missing by the drain notice

Cause: an instance keeps a server whose entry disappears after an outage for 1.9 s, in which a live one writes it again. Each further failed call renewed that time for entries that were missing already, and nothing bounded the renewals. Besides, any failed call counted as an outage in which entries may have expired, also a watch that was cut off and answered again 0.1 s later.

Change: each missing entry has a latest time, the drain notice after it was found missing, which nothing moves. A return of the store counts as the end of an outage only if it has not answered for 1.5 report intervals (heartbeat_ms, read from the settings now); the store removes an entry after three. The renewal stays within the latest time, since a live server can't write its entry in a second outage; expire heeds that too, which it did not. No test had shown why the time is renewed: aServerWhoseEntryExpiredStaysThroughASecondOutage does.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -22,6 +22,8 @@
  * When the store is reachable again, entries that disappear within {@link #RELISTING_GRACE} are kept until the end of
  * that time; at any other time, a server whose entry disappears is removed at once. An instance notices late that the
  * store is back, or that its own path to it works again, so that time is limited by the last evidence to the contrary.
+ * An interruption in which no entry of a live server can have expired is no such outage. However many outages follow, a
+ * server is not used past the drain notice, counted from when its entry was found missing.
  *
  * <p>A store that was restored from a copy lists entries as they were before: servers that drain as ready, and servers
  * that have left. Such entries change nothing; a run of a server that drains or has left is not used again unless it
@@ -40,9 +42,9 @@
     /** Time for an expired server to be removed, and for requests on their way to it to arrive. */
     private static final Duration REMOVAL_MARGIN = Duration.ofMillis(250);
 
-    private final Duration catchUpTime;
+    private final DirectoryTiming timing;
     private final Map<ServerId, ServerEntry> entries = new HashMap<>();
-    private final Map<ServerId, Duration> missingUntil = new HashMap<>();
+    private final Map<ServerId, Missing> missing = new HashMap<>();
     /** The last entries of servers that left, for {@link #DEPARTED_RETENTION}; the oldest first. */
     private final Map<ServerId, Departed> departed = new LinkedHashMap<>();
 
@@ -51,29 +53,40 @@
     private Duration relistingUntil = Duration.ZERO;
     /** The latest time at which the store certainly could not be reached; null if it is reachable. */
     private Duration unreachableAsOf;
+    /** When the store answered last; null if it has not. */
+    private Duration answeredAt;
 
     private boolean loaded;
 
     private record Departed(ServerEntry last, Duration until) {}
 
-    private ServerDirectory(Duration catchUpTime) {
-        this.catchUpTime = catchUpTime;
-    }
-
     /**
-     * Creates an empty directory.
+     * A server that is kept though its entry is missing.
      *
-     * @param catchUpTime the time after the store has become reachable in which servers that left must be out of use
+     * @param until when it is removed, unless the store is out of reach then
+     * @param latest when it is removed in any case
      */
-    public static ServerDirectory create(Duration catchUpTime) {
-        return new ServerDirectory(catchUpTime);
+    private record Missing(Duration until, Duration latest) {
+
+        Missing keptUntil(Duration newUntil) {
+            return new Missing(min(newUntil, latest), latest);
+        }
+    }
+
+    private ServerDirectory(DirectoryTiming timing) {
+        this.timing = timing;
+    }
+
+    /** Creates an empty directory. */
+    public static ServerDirectory create(DirectoryTiming timing) {
+        return new ServerDirectory(timing);
     }
 
     /**
      * Returns how long the return of the store may go unnoticed such that live servers still have
      * {@link #RELISTING_GRACE} to be listed again; negative if there is no such time.
      *
-     * @param catchUpTime as in {@link #create}
+     * @param catchUpTime as in {@link DirectoryTiming}
      */
     public static Duration longestUnnoticedReturn(Duration catchUpTime) {
         return catchUpTime.minus(REMOVAL_MARGIN).minus(RELISTING_GRACE);
@@ -87,18 +100,30 @@
     /** Records that the store answered. */
     public void storeReachable(Duration now) {
         if (unreachableAsOf != null) {
-            startRelisting(now);
+            if (entriesMayHaveExpired(now)) {
+                startRelisting(now);
+            }
             unreachableAsOf = null;
         }
+        answeredAt = now;
+    }
+
+    private boolean entriesMayHaveExpired(Duration now) {
+        return answeredAt == null || now.minus(answeredAt).compareTo(timing.shortestExpiringOutage()) >= 0;
     }
 
     private void startRelisting(Duration now) {
         relistingUntil = now.plus(RELISTING_GRACE);
         if (unreachableAsOf != null) {
-            Duration limit = unreachableAsOf.plus(catchUpTime).minus(REMOVAL_MARGIN);
-            relistingUntil = relistingUntil.compareTo(limit) <= 0 ? relistingUntil : limit;
+            relistingUntil = min(
+                    relistingUntil, unreachableAsOf.plus(timing.catchUpTime()).minus(REMOVAL_MARGIN));
         }
-        missingUntil.replaceAll((id, until) -> relistingUntil);
+        // A live server whose entry expired in an earlier outage could not write it again during this one.
+        missing.replaceAll((id, each) -> each.keptUntil(relistingUntil));
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) <= 0 ? one : other;
     }
 
     /** Records that the store was restored from a copy; live servers whose entries it lost write them again. */
@@ -144,7 +169,7 @@
         if (before == null && isDeparted(entry)) {
             return Optional.empty();
         }
-        missingUntil.remove(entry.id());
+        missing.remove(entry.id());
         if (before != null && (entry.isOlderThan(before) || isReturnFromDraining(entry, before))) {
             return Optional.empty();
         }
@@ -194,7 +219,8 @@
             return Optional.empty();
         }
         if (isRelisting(now) && !entry.leaving()) {
-            missingUntil.putIfAbsent(id, relistingUntil);
+            Duration latest = now.plus(timing.drainNotice()).minus(REMOVAL_MARGIN);
+            missing.computeIfAbsent(id, any -> new Missing(latest, latest).keptUntil(relistingUntil));
             return Optional.empty();
         }
         return depart(id, now);
@@ -208,7 +234,7 @@
 
     /** Removes a server that is known to be gone, such as one whose address another server uses now. */
     public Optional<ServerEntry> drop(ServerId id) {
-        missingUntil.remove(id);
+        missing.remove(id);
         usableByService.clear();
         return Optional.ofNullable(entries.remove(id));
     }
@@ -220,9 +246,11 @@
             leavingRuns.expire(entries.values().stream().map(ServerRun::of).collect(Collectors.toSet()), now);
         }
         List<ServerEntry> gone = new ArrayList<>();
-        for (Map.Entry<ServerId, Duration> each : List.copyOf(missingUntil.entrySet())) {
-            if (now.compareTo(each.getValue()) >= 0) {
-                depart(each.getKey(), now).ifPresent(gone::add);
+        for (ServerId id : List.copyOf(missing.keySet())) {
+            Missing each = missing.get(id);
+            Duration end = unreachableAsOf == null ? each.until() : each.latest();
+            if (now.compareTo(end) >= 0) {
+                depart(id, now).ifPresent(gone::add);
             }
         }
         return gone;
@@ -240,7 +268,7 @@
 
     /** Returns until when a server is kept though its entry is missing from the store; empty if it is not missing. */
     public Optional<Duration> keptUntil(ServerId id) {
-        return Optional.ofNullable(missingUntil.get(id));
+        return Optional.ofNullable(missing.get(id)).map(Missing::until);
     }
 
     /** Returns all entries, including those of leaving servers. */
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -18,11 +18,14 @@
 
     private static final ServiceId SERVICE = ServiceId.of("desk");
     private static final Duration CATCH_UP_TIME = Duration.ofSeconds(3);
+    private static final Duration DRAIN_NOTICE = Duration.ofSeconds(2);
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(1200);
     private static final Duration START = Duration.ofSeconds(100);
     private static final Duration AFTER_GRACE =
             START.plus(ServerDirectory.RELISTING_GRACE).plusSeconds(1);
 
-    private final ServerDirectory directory = ServerDirectory.create(CATCH_UP_TIME);
+    private final ServerDirectory directory =
+            ServerDirectory.create(new DirectoryTiming(CATCH_UP_TIME, DRAIN_NOTICE, REPORT_INTERVAL));
 
     static ServerEntry entry(String id, boolean leaving, long startedMillis) {
         return entry(id, leaving, startedMillis, ServerEntry.UNKNOWN_SEQUENCE);
@@ -92,6 +95,63 @@
         assertThat(usable()).containsExactly("s-2");
     }
 
+    private static void interrupt(ServerDirectory interrupted, Duration from, Duration to) {
+        interrupted.storeUnreachable(from);
+        interrupted.storeReachable(to);
+    }
+
+    /** A watch that is cut off and answered again at once is no time in which a live server's entry expires. */
+    @ParameterizedTest
+    @CsvSource({"100, s-2", "1700, s-2", "1900, s-1 s-2"})
+    void onlyAnOutageThatEntriesCanExpireInKeepsMissingServers(long outageMillis, String usable) {
+        directory.storeReachable(AFTER_GRACE);
+        Duration back = AFTER_GRACE.plusMillis(outageMillis);
+        interrupt(directory, back.minusMillis(50), back);
+        directory.remove(ServerId.of("s-1"), back);
+        assertThat(usable()).containsExactlyElementsIn(List.of(usable.split(" ")));
+    }
+
+    /** Guards against a removal that each further outage put off: requests reached a server that was gone. */
+    @ParameterizedTest
+    @CsvSource({"100, 100", "1500, 200", "1800, 1900", "2500, 2500"})
+    void noFurtherOutagePutsARemovalOffPastTheDrainNotice(long everyMillis, long lengthMillis) {
+        Duration learned = AFTER_GRACE.plusSeconds(5);
+        interrupt(directory, learned, learned);
+        directory.remove(ServerId.of("s-1"), learned);
+        for (int i = 1; i <= 20; i++) {
+            Duration start = learned.plusMillis(i * everyMillis);
+            interrupt(directory, start, start.plusMillis(lengthMillis));
+        }
+        directory.storeUnreachable(learned.plusMillis(1));
+        directory.expire(learned.plus(DRAIN_NOTICE).minusMillis(200));
+        assertThat(usable()).containsExactly("s-2");
+    }
+
+    /** Entries expire in one outage, and the next one begins before the servers could write them again. */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void aServerWhoseEntryExpiredStaysThroughASecondOutage(boolean tickDuringOutage) {
+        ServerDirectory patient =
+                ServerDirectory.create(new DirectoryTiming(CATCH_UP_TIME, Duration.ofSeconds(20), REPORT_INTERVAL));
+        patient.storeReachable(START);
+        patient.put(entry("s-1", false, 1));
+        Duration back = AFTER_GRACE.plusSeconds(5);
+        interrupt(patient, back, back);
+        patient.replaceAll(List.of(), back);
+        Duration again = back.plus(ServerDirectory.RELISTING_GRACE).minusMillis(100);
+        Duration end = tickDuringOutage ? again.plusSeconds(8) : again.plusSeconds(2);
+        patient.storeUnreachable(again);
+        if (tickDuringOutage) {
+            patient.expire(end.minusSeconds(1));
+        }
+        patient.storeUnreachable(end.minusMillis(200));
+        patient.storeReachable(end);
+        patient.expire(end.plusSeconds(1));
+        assertThat(patient.usable(SERVICE)).hasSize(1);
+        patient.expire(end.plus(ServerDirectory.RELISTING_GRACE));
+        assertThat(patient.usable(SERVICE)).isEmpty();
+    }
+
     @Test
     void aServerListedAgainWithinTheGraceStays() {
         Duration recovered = AFTER_GRACE.plusSeconds(5);
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreCallsSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreCallsSimulation.java
@@ -12,6 +12,7 @@
 
 import org.mangoridge.core.Result;
 import org.mangoridge.core.time.VirtualClock;
+import org.mangoridge.dispatch.directory.DirectoryTiming;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 
 /** A fleet that follows a store while servers are replaced, on virtual time; counts its calls. */
@@ -19,6 +20,7 @@
 
     static final Duration DRAIN_NOTICE = Duration.ofSeconds(2);
     static final Duration CATCH_UP_TIME = Duration.ofSeconds(3);
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(1200);
 
     private static final Duration OUTAGE_START = Duration.ofSeconds(6);
     private static final Duration OUTAGE_END = Duration.ofSeconds(11);
@@ -210,14 +212,15 @@
     }
 
     private void start(int instance) {
-        ServerDirectory directory = ServerDirectory.create(CATCH_UP_TIME);
+        DirectoryTiming timing = new DirectoryTiming(CATCH_UP_TIME, DRAIN_NOTICE, REPORT_INTERVAL);
+        ServerDirectory directory = ServerDirectory.create(timing);
         StorePacing pacing = StorePacing.create(
                 DRAIN_NOTICE, CATCH_UP_TIME, knownInstances, () -> directory.isRelisting(clock.elapsed()));
         Follower<String> servers = Follower.create(
                 new Feed(instance, true), new Listener(instance, directory), pacing.servers(), this::in, clock, random);
         Follower<String> config = Follower.create(
                 new Feed(instance, false),
-                new Listener(instance, ServerDirectory.create(CATCH_UP_TIME)),
+                new Listener(instance, ServerDirectory.create(timing)),
                 pacing.config(),
                 this::in,
                 clock,
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreOutageSimulation.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/follow/StoreOutageSimulation.java
@@ -17,11 +17,12 @@
 import org.mangoridge.core.id.ServiceId;
 import org.mangoridge.core.net.HostPort;
 import org.mangoridge.core.time.VirtualClock;
+import org.mangoridge.dispatch.directory.DirectoryTiming;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.directory.ServerStage;
 
-/** One instance that follows the servers of a store through an outage in which a server leaves, on virtual time. */
+/** One instance that follows the servers of a store through outages and cut watches while a server leaves, on virtual time. */
 final class StoreOutageSimulation {
 
     static final int SERVERS = 4;
@@ -37,7 +38,8 @@
     /** TCP keep-alive ends a connection whose peer is silent for this long. */
     private static final Duration KEEP_ALIVE_TIME = Duration.ofSeconds(3);
 
-    private static final Duration DRAIN_NOTICE = Duration.ofSeconds(2);
+    /** The platform requires that a server gets nothing new this long after the store has confirmed that it left. */
+    static final Duration DRAIN_NOTICE = Duration.ofSeconds(2);
 
     private static final Duration TICK = Duration.ofMillis(100);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
@@ -46,13 +48,15 @@
     private final StorePacing pacing;
     private final SplittableRandom random;
     private final VirtualClock clock = VirtualClock.create();
-    private final ServerDirectory directory = ServerDirectory.create(CONTACT_BOUND);
+    private final ServerDirectory directory =
+            ServerDirectory.create(new DirectoryTiming(CONTACT_BOUND, DRAIN_NOTICE, HEARTBEAT));
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::number));
     private final Map<ServerId, Duration> leases = new TreeMap<>();
     private final List<FeedChanges.Change<ServerEntry>> changes = new ArrayList<>();
     private final List<WaitingWatch> waiting = new ArrayList<>();
     private final List<ServerId> falselyRemoved = new ArrayList<>();
+    private final Script script;
     private final Duration outageEnd;
     private int oldestRevision;
     private boolean left;
@@ -75,6 +79,47 @@
         }
     }
 
+    /** A span of time in which the store can't be reached. */
+    record Period(Duration start, Duration end) {
+
+        boolean contains(Duration time) {
+            return time.compareTo(start) >= 0 && time.compareTo(end) < 0;
+        }
+    }
+
+    /**
+     * What happens, on the clock of the simulation.
+     *
+     * @param outages when the store can't be reached, in order
+     * @param cuts when the store ends all waiting watches without an answer
+     * @param leaves when the server leaves
+     */
+    record Script(List<Period> outages, List<Duration> cuts, Duration leaves) {
+
+        private static Script oneOutage(SplittableRandom random) {
+            Duration end = OUTAGE_START.plusSeconds(5).plusMillis(random.nextInt(5000));
+            return new Script(
+                    List.of(new Period(OUTAGE_START, end)),
+                    List.of(),
+                    OUTAGE_START.plusMillis(200L + random.nextInt(2000)));
+        }
+
+        private Duration end() {
+            Duration last = leaves;
+            for (Period outage : outages) {
+                last = max(last, outage.end());
+            }
+            for (Duration cut : cuts) {
+                last = max(last, cut);
+            }
+            return last;
+        }
+
+        private static Duration max(Duration one, Duration other) {
+            return one.compareTo(other) >= 0 ? one : other;
+        }
+    }
+
     private record Task(Duration at, int number, Runnable action) {}
 
     private record WaitingWatch(int revision, Consumer<Result<FeedChanges<ServerEntry>, FeedFailure>> answer) {}
@@ -145,13 +190,25 @@
         }
     }
 
-    /** Creates an instance that knows a fleet of {@code instances}. */
+    /** Creates an instance that knows a fleet of {@code instances}, and one outage in which a server leaves. */
     StoreOutageSimulation(Outage outage, int instances, long seed) {
+        this(outage, instances, new SplittableRandom(seed), Optional.empty());
+    }
+
+    /** Creates an instance that knows a fleet of {@code instances}. */
+    StoreOutageSimulation(Outage outage, int instances, Script script, long seed) {
+        this(outage, instances, new SplittableRandom(seed), Optional.of(script));
+    }
+
+    private StoreOutageSimulation(Outage outage, int instances, SplittableRandom random, Optional<Script> script) {
         this.pacing = StorePacing.create(
                 DRAIN_NOTICE, CONTACT_BOUND, () -> instances, () -> directory.isRelisting(clock.elapsed()));
         this.outage = outage;
-        this.random = new SplittableRandom(seed);
-        this.outageEnd = OUTAGE_START.plusSeconds(5).plusMillis(random.nextInt(5000));
+        this.random = random;
+        this.script = script.orElseGet(() -> Script.oneOutage(random));
+        this.outageEnd = this.script.outages().isEmpty()
+                ? Duration.ZERO
+                : this.script.outages().getLast().end();
     }
 
     /** Runs until the state of the store is certainly known again. */
@@ -163,12 +220,12 @@
         Follower<ServerEntry> follower =
                 Follower.create(new Feed(), new Listener(), pacing.servers(), this::in, clock, random);
         in(Duration.ofSeconds(2), follower::restart);
-        in(OUTAGE_START, this::outageStarts);
-        Duration leaves = OUTAGE_START.plusMillis(200L + random.nextInt(2000));
-        in(leaves, this::leave);
+        script.outages().forEach(period -> in(period.start(), this::outageStarts));
+        script.cuts().forEach(cut -> in(cut, () -> failWaitingWatches(ROUND_TRIP)));
+        in(script.leaves(), this::leave);
         in(TICK, this::tick);
         in(Duration.ofSeconds(3), this::check);
-        Duration end = outageEnd.plusSeconds(8);
+        Duration end = script.end().plusSeconds(8);
         while (tasks.peek().at().compareTo(end) < 0) {
             Task next = tasks.poll();
             clock.advance(next.at().minus(clock.elapsed()));
@@ -181,6 +238,11 @@
         return lastUsed.minus(outageEnd);
     }
 
+    /** Returns how long after it had left the server could still be chosen; negative if it was not. */
+    Duration leavingServerUsedAfterItLeft() {
+        return lastUsed.minus(script.leaves());
+    }
+
     /** Returns the servers that did not leave and could not be chosen at some time. */
     List<ServerId> falselyRemoved() {
         return falselyRemoved;
@@ -191,7 +253,7 @@
     }
 
     private boolean outageNow() {
-        return clock.elapsed().compareTo(OUTAGE_START) >= 0 && clock.elapsed().compareTo(outageEnd) < 0;
+        return script.outages().stream().anyMatch(period -> period.contains(clock.elapsed()));
     }
 
     private <V> void call(Duration timeout, Consumer<Result<V, FeedFailure>> answer, Runnable served) {
@@ -212,15 +274,18 @@
     }
 
     private void outageStarts() {
-        List<WaitingWatch> cut = List.copyOf(waiting);
-        waiting.clear();
-        Duration noticed = outage == Outage.FAILING_STORE ? ROUND_TRIP : KEEP_ALIVE_TIME;
-        in(noticed, () -> cut.forEach(watch -> watch.answer().accept(failure(FeedFailure.Kind.UNAVAILABLE))));
+        failWaitingWatches(outage == Outage.FAILING_STORE ? ROUND_TRIP : KEEP_ALIVE_TIME);
         if (outage == Outage.PARTITION_AND_COMPACTION) {
             in(Duration.ofSeconds(4), () -> oldestRevision = changes.size());
         }
     }
 
+    private void failWaitingWatches(Duration noticedAfter) {
+        List<WaitingWatch> cut = List.copyOf(waiting);
+        waiting.clear();
+        in(noticedAfter, () -> cut.forEach(watch -> watch.answer().accept(failure(FeedFailure.Kind.UNAVAILABLE))));
+    }
+
     private void heartbeat(ServerId id) {
         if (id.equals(LEAVING) && left) {
             return;
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewayNode.java
@@ -22,6 +22,7 @@
 import org.mangoridge.dispatch.balance.ServerPace;
 import org.mangoridge.dispatch.config.CallerLimits;
 import org.mangoridge.dispatch.config.GatewayConfig;
+import org.mangoridge.dispatch.directory.DirectoryTiming;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
 import org.mangoridge.dispatch.follow.CountingFeed;
@@ -211,7 +212,8 @@
             GatewayMetrics metrics,
             EventSink log,
             WireDialect dialect) {
-        ServerDirectory directory = ServerDirectory.create(settings.catchUpTime());
+        ServerDirectory directory = ServerDirectory.create(
+                new DirectoryTiming(settings.catchUpTime(), settings.drainNotice(), settings.reportInterval()));
         LoadTracker loads = LoadTracker.create();
         metrics.show("placements.unreported", () -> Math.round(loads.unreportedRequests(clock.elapsed())));
         ServerPace pace = ServerPace.create(loads, random);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/node/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param retryWindow the length of that window
  * @param drainNotice the time within which a server that drains must get no new requests
  * @param catchUpTime the time after the store has become reachable in which an instance must act on what the store says
+ * @param reportInterval the interval at which a live server writes its entry
  * @param handoverDelay the least time between orders of two successive lease holders to the same server
  * @param grace the time from the shutdown signal until the process is killed
  */
@@ -45,6 +46,7 @@
         Duration retryWindow,
         Duration drainNotice,
         Duration catchUpTime,
+        Duration reportInterval,
         Duration handoverDelay,
         Duration grace) {
 
@@ -59,6 +61,7 @@
         Checks.argument(retryWindow.isPositive(), "retry window must be positive: %s", retryWindow);
         Checks.argument(drainNotice.isPositive(), "drain notice must be positive: %s", drainNotice);
         Checks.argument(catchUpTime.isPositive(), "catch-up time must be positive: %s", catchUpTime);
+        Checks.argument(reportInterval.isPositive(), "report interval must be positive: %s", reportInterval);
         Checks.argument(!handoverDelay.isNegative(), "handover delay must not be negative: %s", handoverDelay);
         Checks.argument(grace.isPositive(), "grace must be positive: %s", grace);
         seeds = List.copyOf(seeds);
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/gossip/GossipFleet.java
@@ -22,6 +22,7 @@
 import org.mangoridge.dispatch.balance.ServerLoad;
 import org.mangoridge.dispatch.config.CallerLimits;
 import org.mangoridge.dispatch.config.GatewayConfig;
+import org.mangoridge.dispatch.directory.DirectoryTiming;
 import org.mangoridge.dispatch.directory.LeavingRun;
 import org.mangoridge.dispatch.directory.ServerDirectory;
 import org.mangoridge.dispatch.directory.ServerEntry;
@@ -72,7 +73,8 @@
         RequestQuarantine quarantine = RequestQuarantine.create();
         ServerRateLimiter limiter;
         final FleetQuotas quotas;
-        final ServerDirectory directory = ServerDirectory.create(Duration.ofSeconds(3));
+        final ServerDirectory directory = ServerDirectory.create(
+                new DirectoryTiming(Duration.ofSeconds(3), Duration.ofSeconds(2), Duration.ofMillis(1200)));
         long datagrams;
         long bytesSent;
         long bytesReceived;
