Do not let a restored store list a missing server as it was before

What callers would see: a server leaves, and the store is restored from an older copy in the time in which the server is kept though its entry is missing. The copy lists it, which ended that time: requests went to the server until the store expired its entry, some seconds past the drain notice.

Cause: an entry from the copy counted as one that the server had written again. One of a server that has departed is compared with the last known entry; one of a server that is missing was not.

Change: after a restore, only an entry newer than the known one ends that time. Outside of restores nothing changes.

Evidence: onlyANewerEntryOfAMissingServerCountsAfterARestore failed in two of its three cases before. An entry of the copy that this instance has not seen, since only its sequence had changed, still passes for a new one.

--- a/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
+++ b/mangoridge-dispatch/src/main/java/org/mangoridge/dispatch/directory/ServerDirectory.java
@@ -65,11 +65,12 @@
      *
      * @param until when it is removed, unless the store is out of reach then
      * @param latest when it is removed in any case
+     * @param beforeRestore whether the store was restored from a copy since its entry was found missing
      */
-    private record Missing(Duration until, Duration latest) {
+    private record Missing(Duration until, Duration latest, boolean beforeRestore) {
 
         Missing keptUntil(Duration newUntil) {
-            return new Missing(min(newUntil, latest), latest);
+            return new Missing(min(newUntil, latest), latest, beforeRestore);
         }
     }
 
@@ -129,6 +130,7 @@
     /** Records that the store was restored from a copy; live servers whose entries it lost write them again. */
     public void storeRestored(Duration now) {
         startRelisting(now);
+        missing.replaceAll((id, each) -> new Missing(each.until(), each.latest(), true));
     }
 
     /** Returns whether an entry that disappears now may be one that its server is about to write again. */
@@ -169,6 +171,9 @@
         if (before == null && isDeparted(entry)) {
             return Optional.empty();
         }
+        if (isFromCopy(entry)) {
+            return Optional.empty();
+        }
         missing.remove(entry.id());
         if (before != null && (entry.isOlderThan(before) || isReturnFromDraining(entry, before))) {
             return Optional.empty();
@@ -208,6 +213,15 @@
         return known != null && entry.isNotNewerThan(known.last());
     }
 
+    /** Tells whether a restored store lists what an entry had said before it was found missing. */
+    private boolean isFromCopy(ServerEntry entry) {
+        Missing known = missing.get(entry.id());
+        return known != null
+                && known.beforeRestore()
+                && entry.sequence() != ServerEntry.UNKNOWN_SEQUENCE
+                && entry.isNotNewerThan(entries.get(entry.id()));
+    }
+
     private static boolean isReturnFromDraining(ServerEntry entry, ServerEntry before) {
         return before.leaving() && !entry.leaving() && entry.startedMillis() == before.startedMillis();
     }
@@ -220,7 +234,7 @@
         }
         if (isRelisting(now) && !entry.leaving()) {
             Duration latest = now.plus(timing.drainNotice()).minus(REMOVAL_MARGIN);
-            missing.computeIfAbsent(id, any -> new Missing(latest, latest).keptUntil(relistingUntil));
+            missing.computeIfAbsent(id, any -> new Missing(latest, latest, false).keptUntil(relistingUntil));
             return Optional.empty();
         }
         return depart(id, now);
--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -193,6 +193,19 @@
         assertThat(usable()).containsExactly("s-2");
     }
 
+    /** Guards against an entry from the copy that ends the time of a missing server: it was used until that expired. */
+    @ParameterizedTest
+    @CsvSource({"5, s-2", "7, s-2", "8, s-1 s-2"})
+    void onlyANewerEntryOfAMissingServerCountsAfterARestore(long listedSequence, String usable) {
+        directory.put(entry("s-1", false, 1, 7));
+        interrupt(directory, AFTER_GRACE, AFTER_GRACE);
+        directory.remove(ServerId.of("s-1"), AFTER_GRACE);
+        directory.storeRestored(AFTER_GRACE);
+        directory.replaceAll(List.of(entry("s-1", false, 1, listedSequence), entry("s-2", false, 1)), AFTER_GRACE);
+        directory.expire(AFTER_GRACE.plus(DRAIN_NOTICE));
+        assertThat(usable()).containsExactlyElementsIn(List.of(usable.split(" ")));
+    }
+
     @Test
     void aServerThatDrainsBeforeARestoreIsNotUsedAgain() {
         directory.put(entry("s-1", true, 1, 7));
