Refuse answers of servers that begin with no valid head

What callers saw: a server in trouble answered with status 000, and the caller got that as an answer. Answers with a blank in the name of a field reached callers too, some with a body cut after a false length, and a prefill with status 099 counted.

Cause: the response decoder of the library takes any integer as a status and any protocol as a version, skips blanks and control characters before the status line, and ends a field name at a blank. Nothing of ours looked at what it had accepted.

Change: HeadSyntax checks status lines and field names in ResponseDecoder, which decodes all answers: of servers, reservations, health checks, the store and stage orders, interim answers and trailers too.

No library setting refuses these: the checks of header names are on by default and see the name up to the blank.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
@@ -10,12 +10,13 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 
-/** Decodes responses and knows whether it has bytes of a response that is not complete. */
+/** Decodes responses, of which it accepts strict heads only, and knows whether it has bytes of an incomplete one. */
 final class ResponseDecoder extends HttpResponseDecoder {
 
     private boolean bodiless;
     private boolean withinResponse;
     private boolean ambiguousLength;
+    private boolean bytesBeforeHead;
     private final HeadSize head = new HeadSize();
     private boolean headComplete;
 
@@ -43,9 +44,19 @@
         return head.heldBytes() + (actualReadableBytes() > 0 ? internalBuffer().capacity() : 0);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (bytesBeforeHead) {
+            throw new IllegalArgumentException("bytes before the status line");
+        }
+        HeadSyntax.checkStatusLine(initialLine[0], initialLine[1], initialLine[2]);
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         head.addHeader();
+        HeadSyntax.checkFieldName(line, start, length);
         return super.splitHeaderName(line, start, length);
     }
 
@@ -71,6 +82,10 @@
             head.reset();
             headComplete = false;
         }
+        if (!withinResponse && buffer.isReadable()) {
+            // The decoder skips blanks and control characters before a status line.
+            bytesBeforeHead = buffer.getByte(buffer.readerIndex()) != 'H';
+        }
         int readable = buffer.readableBytes();
         int decoded = out.size();
         super.decode(context, buffer, out);
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/UpstreamConnection.java
@@ -35,6 +35,8 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+    private static final int MAX_REASON_CHARACTERS = 120;
+
     private final HostPort address;
     private final Clock clock;
     private final UpstreamPool pool;
@@ -198,7 +200,8 @@
 
     private void head(HttpResponse head) {
         if (head.decoderResult().isFailure()) {
-            fail(new CallFailure(progress, false, "response head is not valid HTTP"));
+            pool.counters().invalidHead().inc();
+            fail(new CallFailure(progress, false, "response head is not valid HTTP: " + reason(head)));
             return;
         }
         informationalResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -233,6 +236,12 @@
         announcedIdleTimeout = KeepAliveHeader.timeout(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
     }
 
+    /** Returns why a head is invalid, in part if that quotes much of what the server sent. */
+    private static String reason(HttpResponse head) {
+        String reason = String.valueOf(head.decoderResult().cause().getMessage());
+        return reason.substring(0, Math.min(reason.length(), MAX_REASON_CHARACTERS));
+    }
+
     private void closeForSurplusBytes() {
         if (isOpen()) {
             pool.counters().surplus().inc();
