Refuse a status above 599 in the client of the entry daemon

Cause: the JDK's client accepts any three digits from 100 as a status, so that 600 and 999 passed for answers of engines, plain services and the object store. Found by looking for the cause of status 000 wherever answers are read; not reported.

Change: HttpTransport fails such a call, as one whose answer was invalid.

Evidence: InvalidHeadTest of mangoridge-http failed for 600 and 999, whole and line by line; its other 48 cases (000, blanks and control bytes in names) passed before too, on Java 25. Not run on Java 21.

--- a/mangoridge-http/src/main/java/org/mangoridge/http/HttpTransport.java
+++ b/mangoridge-http/src/main/java/org/mangoridge/http/HttpTransport.java
@@ -1,7 +1,9 @@
 package org.mangoridge.http;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
+import java.net.ProtocolException;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -30,6 +32,8 @@
 public final class HttpTransport implements AutoCloseable {
 
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
 
     private final RenewingClient client;
 
@@ -81,7 +85,14 @@
             HttpCall call,
             HttpResponse.BodyHandler<T> handler,
             BoundedBody body) {
-        CompletableFuture<HttpResponse<T>> pending = acquired.client().sendAsync(request(call), handler);
+        CompletableFuture<HttpResponse<T>> pending = acquired.client().sendAsync(request(call), info -> {
+            // The client accepts other numbers of three digits.
+            if (info.statusCode() < MIN_STATUS || info.statusCode() > MAX_STATUS) {
+                throw new UncheckedIOException(
+                        new ProtocolException("status is not one of HTTP: " + info.statusCode()));
+            }
+            return handler.apply(info);
+        });
         try {
             return Result.ok(pending.get(call.timeout().toNanos(), TimeUnit.NANOSECONDS));
         } catch (TimeoutException e) {
