Send no request to a decode server that left during the prefill

What callers saw: a decode server reported that it drains while another server read the prompt.

Cause: the decode began at the server that was chosen before the prefill; whether it still takes requests was not asked again, after a reservation neither.

Change: after the prefill, another decode server imports the KV cache if the chosen one drains, has left or was started anew; without one the request is placed anew or refused. After the answer to a reservation it is placed anew, as nothing has run.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/ModelExchange.java
@@ -242,7 +242,8 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        if (context.calls().isPaused(prefill.server())) {
+        boolean prefillPaused = context.calls().isPaused(prefill.server());
+        if (prefillPaused || !placements.isUsable(prefill.server()) || !placements.isUsable(decode.server())) {
             releaseReservation();
             reservationRejected();
         } else {
@@ -275,17 +276,20 @@
             return;
         }
         if (context.calls().isPaused(decode.server())) {
-            decodeWithheld();
+            decodeWithheld("the server has asked for a pause");
+            return;
+        }
+        if (!placements.isUsable(decode.server())) {
+            decodeWithheld("the server has left during the prefill");
             return;
         }
         Optional<String> reserved = reservation == null ? Optional.empty() : reservation.use();
         decode.start(prefill.decodeWork(reserved));
     }
 
-    /** Decodes at another server, since the one that was chosen has asked for a pause during the prefill. */
-    private void decodeWithheld() {
+    /** Decodes at another server, since the one that was chosen takes no requests any more since the prefill. */
+    private void decodeWithheld(String detail) {
         ServerEntry server = decode.server();
-        String detail = "the server has asked for a pause";
         if (leaveToSilent(server, detail)) {
             return;
         }
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlacementFinder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/exchange/PlacementFinder.java
@@ -46,6 +46,14 @@
         return context.directory().usable(scope.service());
     }
 
+    /** Returns whether the run of a server that was chosen before still accepts requests. */
+    boolean isUsable(ServerEntry server) {
+        return context.directory()
+                .find(server.id())
+                .filter(known -> !known.leaving() && known.startedMillis() == server.startedMillis())
+                .isPresent();
+    }
+
     /** Returns the servers to which the request can be sent now; empty if it has to wait. */
     Optional<EnginePlacement> find() {
         Duration now = context.now();
