Refuse heads of answers that hold a second status line

What callers saw: an order ran twice. Behind a copy of a status line, callers got the copy's status.

Cause: a reason phrase or value that goes on with "HTTP/1.1 200 OK" is valid for the decoder.

Change: HeadSyntax refuses a status line in a reason phrase or value; the attempt ends as one that may have run.

--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/HeadSyntax.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/HeadSyntax.java
@@ -14,6 +14,7 @@
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
 
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}");
     /** Characters of a field name besides letters and digits. */
     private static final String NAME_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
@@ -34,6 +35,19 @@
         if (reason.chars().anyMatch(HeadSyntax::isControl)) {
             throw new IllegalArgumentException("control character in reason phrase");
         }
+        checkHoldsNoStatusLine(reason);
+    }
+
+    /**
+     * Checks that a part of a head does not go on with another head, as after one that was broken off on the connection.
+     *
+     * @param text a reason phrase or the value of a field
+     * @throws IllegalArgumentException if it holds a status line
+     */
+    static void checkHoldsNoStatusLine(String text) {
+        if (STATUS_LINE.matcher(text).find()) {
+            throw new IllegalArgumentException("status line within a head");
+        }
     }
 
     /**
--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/ResponseDecoder.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -60,6 +61,14 @@
         return super.splitHeaderName(line, start, length);
     }
 
+    private static void checkValues(HttpMessage head) {
+        try {
+            head.headers().forEach(field -> HeadSyntax.checkHoldsNoStatusLine(field.getValue()));
+        } catch (IllegalArgumentException e) {
+            head.setDecoderResult(DecoderResult.failure(e));
+        }
+    }
+
     /** Returns whether a response had a length and chunks both. */
     boolean hadAmbiguousLength() {
         return ambiguousLength;
@@ -89,6 +98,11 @@
         int readable = buffer.readableBytes();
         int decoded = out.size();
         super.decode(context, buffer, out);
+        for (Object message : out.subList(decoded, out.size())) {
+            if (message instanceof HttpMessage decodedHead) {
+                checkValues(decodedHead);
+            }
+        }
         if (!headComplete) {
             head.addCharacters(readable - buffer.readableBytes());
             headComplete = out.size() > decoded;
--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/ResponseDecoderTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/ResponseDecoderTest.java
@@ -35,7 +35,8 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 7, 1000})
     void successiveAnswersAreValid(int partSize) {
-        String one = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-y_z~1:2\r\nFolded: a\r\n b\r\n\r\nbody";
+        String one =
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-y_z~1:2\r\nVia: HTTP/1.1 x\r\nFolded: a\r\n b\r\n\r\nbody";
         String chunked = "HTTP/1.0 599\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nTrailer: 1\r\n\r\n";
         String interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 \u00fcber\r\nLink: x\r\n\r\n";
         assertThat(isValid(one + chunked + interim + one, partSize)).isTrue();
@@ -49,6 +50,8 @@
         "'\r\nHTTP/1.1 200 X\r\n\r\n', 2",
         "'\u0001HTTP/1.1 200 X\r\n\r\n', 1000",
         "'HTTP/1.1 200 X\r\nContent-Length odd: 2\r\n\r\n', 3",
+        "'HTTP/1.1 503 XHTTP/1.1 200 X\r\n\r\n', 5",
+        "'HTTP/1.1 503 X\r\nOdd: 1HTTP/1.1 200 X\r\n\r\n', 5",
         "'HTTP/1.1 100 X\r\n\r\n\r\nHTTP/1.1 200 X\r\n\r\n', 1",
         "'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOdd name: 1\r\n\r\n', 1",
         "'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOdd\u0001name: 1\r\n\r\n', 1000"
