--- a/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
+++ b/mangoridge-dispatch/src/test/java/org/mangoridge/dispatch/directory/ServerDirectoryTest.java
@@ -122,6 +122,7 @@
             Duration start = learned.plusMillis(i * everyMillis);
             interrupt(directory, start, start.plusMillis(lengthMillis));
         }
+        // The store is out of reach at the end of the notice too.
         directory.storeUnreachable(learned.plusMillis(1));
         directory.expire(learned.plus(DRAIN_NOTICE).minusMillis(200));
         assertThat(usable()).containsExactly("s-2");
