--- a/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonFields.java
+++ b/mangoridge-gateway/src/main/java/org/mangoridge/gateway/net/JsonFields.java
@@ -45,13 +45,18 @@
         return value.asLong(defaultValue);
     }
 
-    /** Returns a field that must be a number of milliseconds. */
-    public static Duration millis(JsonNode node, String name) {
+    /** Returns a field that must be a number. */
+    public static double number(JsonNode node, String name) {
         JsonNode value = node.path(name);
         if (!value.isNumber()) {
             throw new IllegalArgumentException(name + " must be a number");
         }
-        return Duration.ofNanos((long) (value.doubleValue() * 1e6));
+        return value.doubleValue();
+    }
+
+    /** Returns a field that must be a number of milliseconds. */
+    public static Duration millis(JsonNode node, String name) {
+        return Duration.ofNanos((long) (number(node, name) * 1e6));
     }
 
     /** Returns a field that must be a number, or the default if it is missing. */
