Time the resets of the early-answer tests by bytes instead of sleeping

Cause: the servers of the three EarlyAnswerTest slept before they reset the connection, which the project's tests don't do: what was written by then depended on the machine.

Change: they reset once they have read a number of further bytes of the upload. The checks are the same.

--- a/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/EarlyAnswerTest.java
+++ b/mangoridge-gateway/src/test/java/org/mangoridge/gateway/net/EarlyAnswerTest.java
@@ -59,19 +59,17 @@
         group.shutdownGracefully();
     }
 
-    private void answerAndReset(int bodyBytes, long resetAfterMillis) {
+    private void answerAndReset(int bodyBytes, int resetAfterBytes) {
         while (!listening.isClosed()) {
             try (Socket socket = listening.accept()) {
                 socket.getInputStream().readNBytes(100);
                 socket.getOutputStream()
                         .write(("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n" + "x".repeat(bodyBytes))
                                 .getBytes(StandardCharsets.US_ASCII));
-                Thread.sleep(resetAfterMillis);
+                socket.getInputStream().readNBytes(resetAfterBytes);
                 socket.setSoLinger(true, 0);
             } catch (IOException e) {
                 Thread.yield();
-            } catch (InterruptedException e) {
-                return;
             }
         }
     }
@@ -128,7 +126,7 @@
 
     private static Stream<Arguments> timings() {
         return Stream.of(0, 14, 400_000).flatMap(body -> Stream.of(300_000, 6_000_000)
-                .flatMap(upload -> Stream.of(0, 1, 30).flatMap(reset -> Stream.of(0, 10, 60)
+                .flatMap(upload -> Stream.of(0, 60_000, 250_000).flatMap(reset -> Stream.of(0, 10, 60)
                         .map(pause -> Arguments.of(body, upload, reset, pause)))));
     }
 
@@ -136,13 +134,12 @@
     @ParameterizedTest
     @MethodSource("timings")
     void anAnswerThatIsResetDuringTheUploadIsNotComplete(
-            int bodyBytes, int uploadBytes, long resetAfterMillis, long pauseMillis) throws Exception {
-        Thread server = Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterMillis));
+            int bodyBytes, int uploadBytes, int resetAfterBytes, long pauseMillis) throws Exception {
+        Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterBytes));
         List<String> ends = new ArrayList<>();
         for (int i = 0; i < CALLS; i++) {
             ends.add(upload(uploadBytes, pauseMillis).get(10, TimeUnit.SECONDS));
         }
-        server.interrupt();
         assertThat(ends).doesNotContain("complete");
     }
 }
--- a/mangoridge-http/src/test/java/org/mangoridge/http/EarlyAnswerTest.java
+++ b/mangoridge-http/src/test/java/org/mangoridge/http/EarlyAnswerTest.java
@@ -41,26 +41,25 @@
         listening.close();
     }
 
-    private void answerAndReset(int bodyBytes, long resetAfterMillis) {
+    private void answerAndReset(int bodyBytes, int resetAfterBytes) {
         while (!listening.isClosed()) {
             try (Socket socket = listening.accept()) {
                 socket.getInputStream().readNBytes(100);
                 socket.getOutputStream()
                         .write(("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n" + "x".repeat(bodyBytes))
                                 .getBytes(StandardCharsets.US_ASCII));
-                Thread.sleep(resetAfterMillis);
+                socket.getInputStream().readNBytes(resetAfterBytes);
                 socket.setSoLinger(true, 0);
             } catch (IOException e) {
                 Thread.yield();
-            } catch (InterruptedException e) {
-                return;
             }
         }
     }
 
     private static Stream<Arguments> timings() {
-        return Stream.of(0, 14, 20_000).flatMap(body -> Stream.of(300_000, 6_000_000)
-                .flatMap(upload -> Stream.of(0, 1, 5, 40).map(delay -> Arguments.of(body, upload, delay))));
+        return Stream.of(0, 14, 20_000)
+                .flatMap(body -> Stream.of(300_000, 6_000_000).flatMap(upload -> Stream.of(0, 1_000, 60_000, 250_000)
+                        .map(reset -> Arguments.of(body, upload, reset))));
     }
 
     private HttpCall upload(int bytes) {
@@ -71,9 +70,9 @@
     // Guards against the part of an answer that arrived before a reset and passes for the whole one.
     @ParameterizedTest
     @MethodSource("timings")
-    void anAnswerThatIsResetDuringTheUploadIsNotComplete(int bodyBytes, int uploadBytes, long resetAfterMillis)
+    void anAnswerThatIsResetDuringTheUploadIsNotComplete(int bodyBytes, int uploadBytes, int resetAfterBytes)
             throws Exception {
-        Thread server = Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterMillis));
+        Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterBytes));
         List<Result<HttpAnswer, HttpFailure>> complete = new ArrayList<>();
         try (HttpTransport transport = HttpTransport.create(TIMEOUT)) {
             for (int i = 0; i < CALLS; i++) {
@@ -83,16 +82,15 @@
                 }
             }
         }
-        server.interrupt();
         assertThat(complete).isEmpty();
     }
 
     // The same for an answer that is read line by line.
     @ParameterizedTest
     @MethodSource("timings")
-    void aStreamThatIsResetDuringTheUploadDoesNotEnd(int bodyBytes, int uploadBytes, long resetAfterMillis)
+    void aStreamThatIsResetDuringTheUploadDoesNotEnd(int bodyBytes, int uploadBytes, int resetAfterBytes)
             throws Exception {
-        Thread server = Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterMillis));
+        Thread.ofVirtual().start(() -> answerAndReset(bodyBytes, resetAfterBytes));
         int ended = 0;
         try (HttpTransport transport = HttpTransport.create(TIMEOUT)) {
             for (int i = 0; i < CALLS; i++) {
@@ -109,7 +107,6 @@
                 }
             }
         }
-        server.interrupt();
         assertThat(ended).isEqualTo(0);
     }
 }
