--- /dev/null
+++ b/review/rig-3/PoisonPart.java
@@ -0,0 +1,217 @@
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * A part of prompts crashes each server that begins to write an answer on it.
+ *
+ * <p>The second argument is the number of digits of the ids of parts, the third the number of parts that all prompts share
+ * before the one that differs.
+ */
+final class PoisonPart {
+
+    private static final int NODES = 6;
+    private static final int DECODE_SERVERS = 5;
+    private static final int PREFILL_SERVERS = 2;
+    private static final long CONTACT_MILLIS = 3000;
+    private static final long POISON_INTERVAL_MILLIS = 1500;
+    private static final long RUN_MILLIS = 45_000;
+    private static final int MAX_LATE = 3;
+    private static final int FIFTH = 5;
+    private static final String HOST = "ficu95.example";
+
+    private static int digits;
+    private static String sharedParts;
+    private static String soundPart;
+    private static String poison;
+
+    private static final List<Long> CRASHES = Collections.synchronizedList(new ArrayList<>());
+
+    public static void main(String[] arguments) throws Exception {
+        digits = Integer.parseInt(arguments[1]);
+        sharedParts = Stream.generate(() -> Rig.hex(digits) + ":40,")
+                .limit(Integer.parseInt(arguments[2]))
+                .collect(Collectors.joining());
+        soundPart = Rig.hex(digits);
+        poison = Rig.hex(digits);
+        Rig.main(arguments, PoisonPart::run);
+    }
+
+    /** A model server, which is back under a new id some seconds after a crash. */
+    private static final class Engine {
+        private final Rig rig;
+        private final Rig.Store store;
+        private final String stage;
+        private final Rig.Listener listener;
+        private volatile String id = "i-" + Rig.hex(8);
+        private volatile boolean down;
+
+        Engine(Rig rig, Rig.Store store, String stage) throws IOException {
+            this.rig = rig;
+            this.store = store;
+            this.stage = stage;
+            this.listener = rig.new Listener(Rig.host(2), 0, this::handle);
+            list();
+        }
+
+        private void list() {
+            store.put("servers", id, "{\"service\":\"draft\",\"address\":\"" + listener.address()
+                    + "\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":48,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\""
+                    + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"born\":"
+                    + System.currentTimeMillis() + ",\"seq\":1}");
+        }
+
+        private byte[] handle(Rig.Message request, Socket connection) throws IOException {
+            String expected = request.header("Expected-Instance");
+            if (!expected.isEmpty() && !expected.equals(id)) {
+                return Rig.answer(421, "Instance-Id: " + id + "\r\nNot-Executed: 1\r\n", "");
+            }
+            if (request.method().equals("DELETE")) {
+                return Rig.answer(200, "", "");
+            }
+            if (request.target().equals("/hold-take")) {
+                return Rig.answer(200, "Content-Type: application/json\r\n", "{\"hold\":\"" + Rig.hex(12) + "\"}");
+            }
+            String requestId = request.header("Request-Id");
+            rig.arrivals.add(new Rig.Arrival(rig.now(), id, stage, requestId, request.target(), request));
+            String echo = "Request-Id: " + requestId + "\r\n";
+            if (request.header("Stage").equals("prefill")) {
+                Rig.sleep(60);
+                return Rig.answer(
+                        200,
+                        echo + "Content-Type: application/json\r\n",
+                        "{\"kv_handle\":\"" + Rig.hex(12) + "\",\"tokens\":1000,\"version\":1}");
+            }
+            Rig.sleep(80);
+            if (Rig.TROUBLE && request.header("Prefix-Hash").contains(poison)) {
+                crash(requestId);
+                return null;
+            }
+            OutputStream out = connection.getOutputStream();
+            out.write(("HTTP/1.1 200 OK\r\n" + echo + "Response-Signature: " + Rig.hex(8)
+                            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            for (int event = 1; event <= 8; event++) {
+                String text = "id: " + event + "\ndata: " + requestId + "\n\n";
+                out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+                Rig.sleep(150);
+            }
+            return "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+        }
+
+        private synchronized void crash(String requestId) {
+            if (down) {
+                return;
+            }
+            down = true;
+            CRASHES.add(rig.now());
+            rig.log("server " + id + " crashes on request " + requestId + ", crash " + CRASHES.size());
+            listener.crash();
+            String gone = id;
+            Thread.ofVirtual().start(() -> {
+                Rig.sleep(3000);
+                id = "i-" + Rig.hex(8);
+                try {
+                    listener.reopen();
+                } catch (IOException e) {
+                    rig.log("server does not come back: " + e);
+                }
+                down = false;
+                list();
+                Rig.sleep(600);
+                store.remove("servers", gone);
+            });
+        }
+    }
+
+    private static int run(Rig rig) throws Exception {
+        Rig.Store store = rig.new Store(Rig.host(1));
+        for (int i = 0; i < DECODE_SERVERS + PREFILL_SERVERS; i++) {
+            new Engine(rig, store, i < DECODE_SERVERS ? "decode" : "prefill");
+        }
+        String service = "{\"name\":\"draft\",\"health_path\":\"/healthz\",\"max_conns\":290,\"protocol\":\"h1\",\"tls\":false,"
+                + "\"engine\":{\"slots\":48,\"kv_capacity\":42121,\"kv_token_bytes\":18432,\"link_mbps\":230000.0,"
+                + "\"moves\":true,\"backups\":true,\"stride\":11,\"most\":12,\"handle_ttl_s\":0.5,\"switch_s\":6.0,"
+                + "\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}";
+        store.put("config", "main", Rig.manifest(
+                7,
+                Rig.route("digest", HOST, "/digest/", "streaming", "draft",
+                        ",\"sticky\":true,\"resumable\":false,\"gap_target_ms\":300"),
+                service,
+                16384));
+        List<Rig.Node> nodes = rig.nodes(NODES, store.listener.address());
+        for (Rig.Node node : nodes) {
+            node.start();
+        }
+        rig.awaitReady(nodes);
+        Rig.sleep(3500);
+        long end = rig.now() + RUN_MILLIS;
+        for (Rig.Node node : nodes) {
+            Thread.ofVirtual().start(() -> {
+                while (rig.now() < end) {
+                    Thread.ofVirtual().start(() -> send(rig, node, soundPart, "sound"));
+                    Rig.sleep(1000 + ThreadLocalRandom.current().nextInt(1000));
+                }
+            });
+        }
+        Rig.sleep(3000);
+        Set<String> poisoned = Collections.synchronizedSet(new HashSet<>());
+        for (int i = 0; rig.now() < end; i++) {
+            Rig.Node node = nodes.get(i % NODES);
+            Thread.ofVirtual().start(() -> poisoned.add(send(rig, node, poison, "poisoned")));
+            Rig.sleep(POISON_INTERVAL_MILLIS);
+        }
+        Rig.sleep(3000);
+        for (Rig.Node node : nodes) {
+            List<String> undecodable = node.logLines("undecodable load report");
+            rig.log(node.name + " logged " + undecodable.size() + " undecodable reports"
+                    + (undecodable.isEmpty() ? "" : ", the first: " + undecodable.getFirst()));
+        }
+        if (CRASHES.size() < FIFTH) {
+            rig.log(CRASHES.size() + " crashes, so that the rule does not bind");
+            return Rig.HELD;
+        }
+        long from = CRASHES.get(FIFTH - 1) + CONTACT_MILLIS;
+        Set<String> late = new HashSet<>();
+        rig.arrivals.stream()
+                .filter(each -> each.at() > from && each.request().header("Prefix-Hash").contains(poison))
+                .forEach(each -> late.add(each.id()));
+        rig.log(CRASHES.size() + " crashes; " + late.size() + " requests with the part reached servers later than "
+                + CONTACT_MILLIS + " ms after the fifth crash; allowed are " + MAX_LATE);
+        return late.size() > MAX_LATE ? Rig.BROKEN : Rig.HELD;
+    }
+
+    private static String send(Rig rig, Rig.Node node, String part, String what) {
+        String id = Rig.hex(16);
+        String body = Rig.hex(64);
+        String outcome;
+        try (Rig.Client client = rig.new Client(node.ip, node.frontPort)) {
+            Rig.Message answer = client.call(
+                    "POST /digest/2f HTTP/1.1\r\nHost: " + HOST + "\r\nRequest-Id: " + id
+                            + "\r\nModel: m\r\nToken-Usage: 1000,72\r\nPrefix-Hash: " + sharedParts + part + ":100,"
+                            + Rig.hex(digits) + ":100\r\nDeadline-Ms: 14000\r\nContent-Length: " + body.length() + "\r\n",
+                    body.getBytes(StandardCharsets.ISO_8859_1),
+                    14_000);
+            outcome = answer.first;
+        } catch (IOException e) {
+            outcome = e.toString();
+        }
+        String servers = rig.arrivals.stream()
+                .filter(each -> each.id().equals(id))
+                .map(each -> each.service() + " " + each.server())
+                .toList()
+                .toString();
+        rig.log(what + " request " + id + " at " + node.name + ": " + outcome + ", reached " + servers);
+        return id;
+    }
+}
