Review cases 11 and 13: sound requests beside a part that crashes servers are judged too

Case 11 now judges LOST (NEWS.md): sound requests with the same first part begin at the first attempt less than half as often, from 2 x contact_ms after the fifth crash. Disruption: the 19th of 20 parts of prompts crashes servers, for 20 s. Case 13 (BUDGET) has the part for 20 s.

--- a/review/rig-3/PoisonPart.java
+++ b/review/rig-3/PoisonPart.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
@@ -14,8 +15,9 @@
 /**
  * A part of prompts crashes each server that begins to write an answer on it.
  *
- * <p>The second argument is the number of digits of the ids of parts, the third the number of parts that all prompts share
- * before the one that differs.
+ * <p>The arguments after the folder: the number of digits of the ids of parts, the number of parts that all prompts share before
+ * the one that differs, the time between two requests with the part, how long a server that crashed is down (both in
+ * milliseconds), and the rule that is judged.
  */
 final class PoisonPart {
 
@@ -23,17 +25,25 @@
     private static final int DECODE_SERVERS = 5;
     private static final int PREFILL_SERVERS = 2;
     private static final long CONTACT_MILLIS = 3000;
-    private static final long POISON_INTERVAL_MILLIS = 1500;
-    private static final long RUN_MILLIS = 45_000;
+    private static final long CALM_MILLIS = 8000;
+    private static final long POISON_MILLIS = 20_000;
+    private static final int MIN_JUDGED = 20;
     private static final int MAX_LATE = 3;
     private static final int FIFTH = 5;
     private static final String HOST = "ficu95.example";
 
     private static int digits;
+    private static long poisonIntervalMillis;
+    private static long downMillis;
+    private static boolean judgesLost;
     private static String sharedParts;
     private static String soundPart;
     private static String poison;
 
+    /** A request that a caller has sent. */
+    private record Sent(long at, boolean sound, boolean begun, boolean whole) {}
+
+    private static final List<Sent> SENT = Collections.synchronizedList(new ArrayList<>());
     private static final List<Long> CRASHES = Collections.synchronizedList(new ArrayList<>());
 
     public static void main(String[] arguments) throws Exception {
@@ -41,6 +51,9 @@
         sharedParts = Stream.generate(() -> Rig.hex(digits) + ":40,")
                 .limit(Integer.parseInt(arguments[2]))
                 .collect(Collectors.joining());
+        poisonIntervalMillis = Long.parseLong(arguments[3]);
+        downMillis = Long.parseLong(arguments[4]);
+        judgesLost = arguments[5].equals("LOST");
         soundPart = Rig.hex(digits);
         poison = Rig.hex(digits);
         Rig.main(arguments, PoisonPart::run);
@@ -119,7 +132,7 @@
             listener.crash();
             String gone = id;
             Thread.ofVirtual().start(() -> {
-                Rig.sleep(3000);
+                Rig.sleep(downMillis);
                 id = "i-" + Rig.hex(8);
                 try {
                     listener.reopen();
@@ -155,7 +168,7 @@
         }
         rig.awaitReady(nodes);
         Rig.sleep(3500);
-        long end = rig.now() + RUN_MILLIS;
+        long end = rig.now() + CALM_MILLIS + POISON_MILLIS;
         for (Rig.Node node : nodes) {
             Thread.ofVirtual().start(() -> {
                 while (rig.now() < end) {
@@ -164,19 +177,47 @@
                 }
             });
         }
-        Rig.sleep(3000);
-        Set<String> poisoned = Collections.synchronizedSet(new HashSet<>());
+        Rig.sleep(CALM_MILLIS);
+        long calmUntil = rig.now();
         for (int i = 0; rig.now() < end; i++) {
             Rig.Node node = nodes.get(i % NODES);
-            Thread.ofVirtual().start(() -> poisoned.add(send(rig, node, poison, "poisoned")));
-            Rig.sleep(POISON_INTERVAL_MILLIS);
+            Thread.ofVirtual().start(() -> send(rig, node, poison, "poisoned"));
+            Rig.sleep(poisonIntervalMillis);
         }
-        Rig.sleep(3000);
+        Rig.sleep(4000);
         for (Rig.Node node : nodes) {
             List<String> undecodable = node.logLines("undecodable load report");
             rig.log(node.name + " logged " + undecodable.size() + " undecodable reports"
                     + (undecodable.isEmpty() ? "" : ", the first: " + undecodable.getFirst()));
         }
+        long cut = SENT.stream().filter(each -> each.sound() && each.begun() && !each.whole()).count();
+        rig.log(CRASHES.size() + " crashes; " + cut + " sound streams that had begun were broken off");
+        return judgesLost ? judgeLost(rig, calmUntil, end) : judgeBudget(rig);
+    }
+
+    /** From 2 x contact_ms after the fifth crash, or the last, sound requests begin less than half as often as before. */
+    private static int judgeLost(Rig rig, long calmUntil, long end) {
+        long from = CRASHES.isEmpty()
+                ? calmUntil
+                : CRASHES.get(Math.min(FIFTH, CRASHES.size()) - 1) + 2 * CONTACT_MILLIS;
+        List<Sent> before = SENT.stream().filter(each -> each.sound() && each.at() < calmUntil - 1000).toList();
+        List<Sent> after = SENT.stream()
+                .filter(each -> each.sound() && each.at() > from && each.at() < end)
+                .toList();
+        double usual = before.stream().filter(Sent::begun).count() / (double) before.size();
+        double now = after.stream().filter(Sent::begun).count() / (double) after.size();
+        rig.log(String.format(
+                Locale.ROOT,
+                "sound requests that began at the first attempt: %.3f of %d before the first crash, %.3f of %d later than %d ms"
+                        + " after the fifth or last crash; at least half as many must",
+                usual, before.size(), now, after.size(), 2 * CONTACT_MILLIS));
+        if (before.size() < MIN_JUDGED || after.size() < MIN_JUDGED) {
+            return Rig.COULD_NOT_RUN;
+        }
+        return now < usual / 2 ? Rig.BROKEN : Rig.HELD;
+    }
+
+    private static int judgeBudget(Rig rig) {
         if (CRASHES.size() < FIFTH) {
             rig.log(CRASHES.size() + " crashes, so that the rule does not bind");
             return Rig.HELD;
@@ -191,11 +232,15 @@
         return late.size() > MAX_LATE ? Rig.BROKEN : Rig.HELD;
     }
 
-    private static String send(Rig rig, Rig.Node node, String part, String what) {
+    private static void send(Rig rig, Rig.Node node, String part, String what) {
+        long at = rig.now();
+        boolean begun;
+        boolean whole = false;
         String id = Rig.hex(16);
         String body = Rig.hex(64);
         String outcome;
-        try (Rig.Client client = rig.new Client(node.ip, node.frontPort)) {
+        Rig.Client client = rig.new Client(node.ip, node.frontPort);
+        try {
             Rig.Message answer = client.call(
                     "POST /digest/2f HTTP/1.1\r\nHost: " + HOST + "\r\nRequest-Id: " + id
                             + "\r\nModel: m\r\nToken-Usage: 1000,72\r\nPrefix-Hash: " + sharedParts + part + ":100,"
@@ -203,15 +248,19 @@
                     body.getBytes(StandardCharsets.ISO_8859_1),
                     14_000);
             outcome = answer.first;
+            whole = answer.status() == 200;
         } catch (IOException e) {
             outcome = e.toString();
+        } finally {
+            begun = client.succeeded();
+            client.close();
         }
+        SENT.add(new Sent(at, part.equals(soundPart), begun, whole));
         String servers = rig.arrivals.stream()
                 .filter(each -> each.id().equals(id))
                 .map(each -> each.service() + " " + each.server())
                 .toList()
                 .toString();
         rig.log(what + " request " + id + " at " + node.name + ": " + outcome + ", reached " + servers);
-        return id;
     }
 }
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -23,8 +23,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -290,6 +288,8 @@
         private final int port;
         private Socket socket;
         private InputStream in;
+        /** The first line of the answer to the last call; empty if none came. */
+        private String begun = "";
 
         Client(String host, int port) {
             this.host = host;
@@ -307,8 +307,14 @@
             return socket != null && !socket.isClosed();
         }
 
+        /** Returns whether the answer to the last call began with a success. */
+        boolean succeeded() {
+            return begun.contains(" 200 ");
+        }
+
         /** Sends a request and returns the whole answer; closes the connection if it can't be used again. */
         Message call(String head, byte[] body, int timeoutMillis) throws IOException {
+            begun = "";
             if (!isConnected()) {
                 connect();
             }
@@ -325,6 +331,7 @@
                 if (answer == null) {
                     throw new EOFException("closed without an answer");
                 }
+                begun = answer.first;
                 readBody(in, answer);
                 if (answer.header("Connection").equalsIgnoreCase("close")) {
                     close();
@@ -506,90 +513,6 @@
         }
     }
 
-    // ---------------------------------------------------------------- a proxy
-
-    /** Forwards connections to an address; those that are open can be made silent, without a reset. */
-    final class Proxy {
-        private final String toHost;
-        private final int toPort;
-        final ServerSocket socket;
-        private final java.util.Set<Link> links = ConcurrentHashMap.newKeySet();
-        final AtomicLong accepted = new AtomicLong();
-
-        private final class Link {
-            volatile boolean silent;
-        }
-
-        Proxy(String host, String toHost, int toPort) throws IOException {
-            this.toHost = toHost;
-            this.toPort = toPort;
-            this.socket = new ServerSocket(0, 512, InetAddress.getByName(host));
-            sockets.add(socket);
-            Thread.ofVirtual().start(this::accept);
-        }
-
-        int port() {
-            return socket.getLocalPort();
-        }
-
-        private void accept() {
-            while (true) {
-                try {
-                    Socket from = socket.accept();
-                    accepted.incrementAndGet();
-                    Thread.ofVirtual().start(() -> forward(from));
-                } catch (IOException e) {
-                    return;
-                }
-            }
-        }
-
-        private void forward(Socket from) {
-            Link link = new Link();
-            links.add(link);
-            try {
-                Socket to = new Socket(toHost, toPort);
-                from.setTcpNoDelay(true);
-                to.setTcpNoDelay(true);
-                Thread.ofVirtual().start(() -> copy(link, from, to));
-                copy(link, to, from);
-            } catch (IOException e) {
-                // The connection is over.
-            } finally {
-                links.remove(link);
-            }
-        }
-
-        private void copy(Link link, Socket from, Socket to) {
-            byte[] buffer = new byte[16 << 10];
-            try {
-                for (int read = from.getInputStream().read(buffer); read >= 0; read = from.getInputStream().read(buffer)) {
-                    if (!link.silent) {
-                        to.getOutputStream().write(buffer, 0, read);
-                        to.getOutputStream().flush();
-                    }
-                }
-            } catch (IOException e) {
-                // One side is gone.
-            }
-            if (!link.silent) {
-                try {
-                    from.close();
-                    to.close();
-                } catch (IOException e) {
-                    // They are closed then.
-                }
-            }
-        }
-
-        /** Makes all open connections silent for good; new ones work. */
-        int silence() {
-            int count = links.size();
-            links.forEach(each -> each.silent = true);
-            return count;
-        }
-    }
-
     // ---------------------------------------------------------------- processes under test
 
     /** An entry instance, started with the command of the deploy file. */
