--- a/review/rig-3/DeadlyCaller.java
+++ b/review/rig-3/DeadlyCaller.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A request of one tenant crashes the servers that run it, while another tenant sends the same path and body, which is sound. */
 final class DeadlyCaller {
@@ -12,7 +13,9 @@
     private static final int SERVERS = 4;
     private static final long CONTACT_MILLIS = 3000;
     private static final long DEADLY_INTERVAL_MILLIS = 2000;
-    private static final long SOUND_INTERVAL_MILLIS = 400;
+    private static final int SOUND_CALLERS_PER_NODE = 3;
+    private static final long SOUND_INTERVAL_MILLIS = 200;
+    private static final long WORK_MILLIS = 250;
     private static final long RUN_MILLIS = 36_000;
     private static final int THIRD = 3;
     private static final int MAX_RETRIES = 3;
@@ -21,6 +24,7 @@
     private static final String SOUND_TENANT = "south";
     private static final String BODY = "{\"report\":\"all\"}";
 
+    private static final AtomicInteger LOST_ORDERS = new AtomicInteger();
     private static final List<Long> CRASHES = Collections.synchronizedList(new ArrayList<>());
 
     public static void main(String[] arguments) throws Exception {
@@ -60,6 +64,7 @@
                 crash(requestId);
                 return null;
             }
+            Rig.sleep(WORK_MILLIS);
             return Rig.answer(
                     200, "Request-Id: " + requestId + "\r\nResponse-Signature: " + Rig.hex(8) + "\r\n", "report " + requestId);
         }
@@ -107,7 +112,8 @@
         Rig.sleep(3500);
         long end = rig.now() + RUN_MILLIS;
         if (withSound) {
-            for (Rig.Node node : nodes) {
+            for (int i = 0; i < NODES * SOUND_CALLERS_PER_NODE; i++) {
+                Rig.Node node = nodes.get(i % NODES);
                 Thread.ofVirtual().start(() -> {
                     while (rig.now() < end) {
                         send(rig, node, "key-s");
@@ -123,6 +129,7 @@
             Rig.sleep(DEADLY_INTERVAL_MILLIS);
         }
         Rig.sleep(2000);
+        rig.log(LOST_ORDERS.get() + " sound orders that a server had accepted, each sent once, got no success");
         if (CRASHES.size() < THIRD) {
             rig.log(CRASHES.size() + " crashes, so that the rule does not bind");
             return Rig.HELD;
@@ -149,6 +156,9 @@
             outcome = e.toString();
         }
         boolean arrived = rig.arrivals.stream().anyMatch(each -> each.id().equals(id));
+        if (key.equals("key-s") && arrived && !outcome.contains(" 200 ")) {
+            LOST_ORDERS.incrementAndGet();
+        }
         rig.log("request " + id + " with " + key + " at " + node.name + ": " + outcome
                 + (arrived ? ", reached a server" : ", reached no server"));
     }
