--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -32,9 +32,9 @@
     /** A block of addresses for one run, so that two runs at a time use different ones. */
     static final int BLOCK = ThreadLocalRandom.current().nextInt(1, 255);
 
-    /** Exit codes of a case. */
+    /** Exit codes of a case; a virtual machine that can't start exits with 1, so that run.sh takes that for "could not run". */
     static final int HELD = 0;
-    static final int BROKEN = 1;
+    static final int BROKEN = 10;
     static final int COULD_NOT_RUN = 2;
 
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
@@ -618,11 +618,6 @@
             log("started " + name + " at " + ip);
         }
 
-        void signal(String signal) throws Exception {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-            log("sent " + signal + " to " + name);
-        }
-
         boolean isReady() {
             try (Client client = new Client(ip, readyPort)) {
                 return client.call("GET /readyz HTTP/1.1\r\nHost: x\r\n", new byte[0], 1000).status() == 200;
