--- a/review/rig-3/PoisonPart.java
+++ b/review/rig-3/PoisonPart.java
@@ -28,6 +28,9 @@
     private static final long CALM_MILLIS = 8000;
     private static final long POISON_MILLIS = 20_000;
     private static final int MIN_JUDGED = 20;
+    /** Three reports of a server, each 1.2 s after the one before. */
+    private static final long ENTRY_EXPIRY_MILLIS = 3600;
+    private static final long SWITCH_MILLIS = 6000;
     private static final int MAX_LATE = 3;
     private static final int FIFTH = 5;
     private static final String HOST = "ficu95.example";
@@ -63,8 +66,11 @@
     private static final class Engine {
         private final Rig rig;
         private final Rig.Store store;
-        private final String stage;
         private final Rig.Listener listener;
+        private volatile String stage;
+        private volatile boolean switching;
+        private long orders;
+        private long fence;
         private volatile String id = "i-" + Rig.hex(8);
         private volatile boolean down;
 
@@ -91,6 +97,17 @@
             if (request.method().equals("DELETE")) {
                 return Rig.answer(200, "", "");
             }
+            if (request.target().equals("/report")) {
+                return Rig.answer(200, "Content-Type: application/json\r\n", "{\"stage\":\"" + stage
+                        + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":" + switching + ",\"seq\":"
+                        + orders + ",\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":42121,\"kv_handles\":0}");
+            }
+            if (request.target().equals("/order")) {
+                return Rig.answer(order(request.text()), "", "");
+            }
+            if (switching) {
+                return Rig.answer(503, "Request-Id: " + request.header("Request-Id") + "\r\nNot-Executed: 1\r\n", "");
+            }
             if (request.target().equals("/hold-take")) {
                 return Rig.answer(200, "Content-Type: application/json\r\n", "{\"hold\":\"" + Rig.hex(12) + "\"}");
             }
@@ -122,6 +139,36 @@
             return "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
         }
 
+        /** Carries out a stage order as the pages say; returns the status. */
+        private synchronized int order(String text) {
+            String wanted = Rig.group(text, "\"stage\":\"(prefill|decode)\"");
+            long given = Long.parseLong("0" + Rig.group(text, "\"fence\":([0-9]+)"));
+            String expect = Rig.group(text, "\"expect\":([0-9]+)");
+            rig.log("server " + id + " gets the order " + text);
+            if (given < fence) {
+                return 412;
+            }
+            fence = given;
+            if (switching || !expect.isEmpty() && Long.parseLong(expect) != orders) {
+                return 409;
+            }
+            if (wanted.equals(stage)) {
+                return 200;
+            }
+            orders++;
+            switching = true;
+            String run = id;
+            Thread.ofVirtual().start(() -> {
+                Rig.sleep(SWITCH_MILLIS);
+                if (id.equals(run) && !down) {
+                    stage = wanted;
+                    switching = false;
+                    list();
+                }
+            });
+            return 202;
+        }
+
         private synchronized void crash(String requestId) {
             if (down) {
                 return;
@@ -131,9 +178,16 @@
             rig.log("server " + id + " crashes on request " + requestId + ", crash " + CRASHES.size());
             listener.crash();
             String gone = id;
+            Thread.ofVirtual().start(() -> {
+                Rig.sleep(ENTRY_EXPIRY_MILLIS);
+                store.remove("servers", gone);
+            });
             Thread.ofVirtual().start(() -> {
                 Rig.sleep(downMillis);
                 id = "i-" + Rig.hex(8);
+                orders = 0;
+                fence = 0;
+                switching = false;
                 try {
                     listener.reopen();
                 } catch (IOException e) {
@@ -141,8 +195,6 @@
                 }
                 down = false;
                 list();
-                Rig.sleep(600);
-                store.remove("servers", gone);
             });
         }
     }
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -643,9 +643,16 @@
         return "127.7." + BLOCK + "." + (10 + number);
     }
 
+    private static final java.util.Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
+
+    /** Returns a free port that no earlier call has returned. */
     static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+                if (TAKEN_PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
